--- /dev/null
+++ b/include/figstair/core/candidate_list.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "figstair/wire/datagram.h"
+
+namespace figstair {
+
+/// One upstream that a new flow may be placed on.
+struct candidate
+{
+    static constexpr std::uint16_t notAsked = 0xFFFF;
+    static constexpr std::uint16_t refused = 0xFFFE;
+
+    std::uint32_t upstreamId = 0;
+    std::uint16_t load = notAsked; ///< per mille of what it bears, as its gate answered
+};
+
+/// Candidates in the order of preference, carried along with a forwarded open.
+class candidate_list
+{
+public:
+    candidate_list() = default;
+    explicit candidate_list(std::vector<candidate> candidates);
+
+    /// Reads bytes written by encode(). Returns nothing when they are malformed.
+    static std::optional<candidate_list> decode(byte_view bytes);
+    byte_buffer encode() const;
+
+    bool empty() const { return m_candidates.empty(); }
+    std::size_t size() const { return m_candidates.size(); }
+
+    /// Notes what the gate of @p upstreamId answered.
+    void note(std::uint32_t upstreamId, std::uint16_t load);
+
+    /// Number of candidates that answered with a load.
+    std::size_t answered() const;
+
+    /// Number of candidates that refused.
+    std::size_t refusals() const;
+
+    /// The first one that was not asked.
+    const candidate *nextToAsk() const;
+
+    /// The one with the least load among those that answered.
+    const candidate *leastLoaded() const;
+
+private:
+    std::vector<candidate> m_candidates;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/core/endpoint.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace figstair {
+
+/// An IP address and port. IPv4 addresses are held in IPv4-mapped form.
+struct endpoint
+{
+    std::array<std::uint8_t, 16> address {};
+    std::uint16_t port = 0;
+
+    bool operator==(const endpoint &other) const
+    {
+        return port == other.port && address == other.address;
+    }
+    bool operator!=(const endpoint &other) const { return !(*this == other); }
+    bool operator<(const endpoint &other) const
+    {
+        return address != other.address ? address < other.address : port < other.port;
+    }
+};
+
+/// Hash of the address alone; callers behind one address share it.
+std::uint64_t addressHash(const endpoint &where);
+
+/// Reads "1.2.3.4:80" or "[::1]:80". Returns nothing when the text is not of that form.
+std::optional<endpoint> parseEndpoint(std::string_view text);
+
+std::string toString(const endpoint &where);
+
+} // namespace figstair
+
+template <> struct std::hash<figstair::endpoint>
+{
+    std::size_t operator()(const figstair::endpoint &where) const noexcept
+    {
+        return figstair::addressHash(where) ^ (std::size_t {where.port} * 0x9E3779B97F4A7C15ULL);
+    }
+};
--- /dev/null
+++ b/include/figstair/core/fair_queue.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <optional>
+#include <unordered_map>
+
+namespace figstair {
+
+/// A bounded queue that serves callers in turn, whatever the number each has waiting.
+class fair_queue
+{
+public:
+    explicit fair_queue(std::size_t capacity);
+
+    /// Adds @p item for @p caller. When the queue is full, an item of the caller with the most
+    /// waiting gives way and is returned; it is @p item itself when that caller has the most.
+    std::optional<std::uint64_t> push(std::uint64_t caller, std::uint64_t item);
+
+    /// Takes the oldest item of the caller whose turn it is.
+    std::optional<std::uint64_t> pop();
+
+    /// Removes one item; returns false when it is not waiting.
+    bool remove(std::uint64_t caller, std::uint64_t item);
+
+    std::size_t size() const { return m_size; }
+    std::size_t capacity() const { return m_capacity; }
+
+private:
+    struct caller_items
+    {
+        std::deque<std::uint64_t> items;
+        std::list<std::uint64_t>::iterator turn;
+    };
+
+    void dropIfEmpty(std::uint64_t caller);
+
+    std::size_t m_capacity;
+    std::size_t m_size = 0;
+    std::unordered_map<std::uint64_t, caller_items> m_callers;
+    std::list<std::uint64_t> m_turns;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/core/gate_map.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "figstair/core/membership.h"
+#include "figstair/table/table.h"
+
+namespace figstair {
+
+/// Says which host speaks to an upstream: rendezvous hashing over the eligible hosts of the
+/// upstream's zone, or of another zone when that zone has none.
+class gate_map
+{
+public:
+    gate_map(const membership &members, const table &current);
+
+    /// The gate of @p upstream, or nothing when no host is eligible. Valid until members change.
+    const member *gateOf(const upstream_entry &upstream) const;
+
+private:
+    struct cached_gate
+    {
+        std::uint64_t membersVersion = 0;
+        std::uint64_t tableRevision = 0;
+        const member *gate = nullptr;
+        bool filled = false;
+    };
+
+    const member *choose(const upstream_entry &upstream) const;
+    const member *bestIn(const std::string &zone, std::uint32_t upstreamId) const;
+
+    const membership &m_members;
+    const table &m_table;
+    mutable std::unordered_map<std::uint32_t, cached_gate> m_cache;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/core/host_context.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <random>
+
+#include "figstair/core/clock_source.h"
+#include "figstair/core/flow_token.h"
+#include "figstair/core/gate_map.h"
+#include "figstair/core/host_output.h"
+#include "figstair/core/host_settings.h"
+#include "figstair/core/membership.h"
+#include "figstair/table/table.h"
+#include "figstair/wire/datagram.h"
+
+namespace figstair {
+
+/// What the roles of one host share. Owned by host_core, which outlives the roles.
+struct host_context
+{
+    const host_settings &settings;
+    const clock_source &clock;
+    std::mt19937_64 &random;
+    table &rows;
+    token_keys &keys;
+    membership &members;
+    gate_map &gates;
+    host_output &output;
+
+    /// Sends to a caller or upstream.
+    void send(const endpoint &to, const datagram &message) const;
+
+    /// Sends to another host, with an authentication code.
+    void sendToHost(const member &to, const datagram &message) const;
+
+    /// Refuses @p requestId and counts it.
+    void refuse(const endpoint &caller, std::uint64_t requestId, refusal_status status,
+                milliseconds retryAfter = milliseconds(0)) const;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/core/host_output.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "figstair/core/clock_source.h"
+#include "figstair/core/member.h"
+#include "figstair/core/order_ledger.h"
+#include "figstair/wire/datagram.h"
+
+namespace figstair {
+
+/// What a host counts; names are in toText().
+enum class counter : std::uint8_t {
+    datagramsReceived,
+    malformedDatagrams,
+    unauthenticDatagrams,
+    badTokens,
+    flowsOpened,
+    opensRefused,
+    requestsReceived,
+    requestsForwarded,
+    requestsSent,
+    answersRelayed,
+    lateAnswers,
+    requestsAnswered,
+    refusedNotRun,
+    refusedUnknown,
+    refusedPlaceAgain,
+    refusedOverloaded,
+    refusedOther,
+    ordersAccepted,
+    ordersRepeated,
+    gateTakeovers,
+    upstreamStarts,
+    freezes,
+    tableEditsApplied,
+    tableChainErrors,
+    platformOlder,
+    platformErrors,
+    controlBytesSent,
+    count
+};
+
+std::string_view toText(counter which);
+
+/// The counter that a refusal with @p status goes to.
+counter refusalCounter(refusal_status status);
+
+/// What a host measures as a distribution, in milliseconds.
+enum class distribution : std::uint8_t { queueWait, upstreamTime, count };
+
+std::string_view toText(distribution which);
+
+/// One step of a request's way through the system.
+struct span_record
+{
+    std::uint64_t traceId = 0;
+    std::uint64_t spanId = 0;
+    std::uint64_t parentId = 0;
+    std::string_view name; ///< receive, gate or upstream
+    wall_time start {};
+    milliseconds duration {0};
+    std::uint32_t upstreamId = 0;
+};
+
+/// Everything one gate knew of the orders of one upstream.
+struct order_handover
+{
+    std::uint64_t gateIncarnation = 0;
+    std::uint32_t upstreamId = 0;
+    std::vector<order_record> records;
+};
+
+using event_fields = std::initializer_list<std::pair<std::string_view, std::string>>;
+
+/// Carries out what a host decides.
+class host_output
+{
+public:
+    virtual ~host_output() = default;
+
+    virtual void sendDatagram(const endpoint &to, byte_view bytes) = 0;
+
+    /// Asks for all member records; the answer goes to host_core::onMembers().
+    virtual void requestMembers(const member &from) = 0;
+
+    /// Asks for the edits after @p revision; the answer goes to host_core::onTableReply().
+    virtual void requestTable(const member &from, std::uint64_t revision) = 0;
+
+    /// Sends order records; success goes to host_core::onHandoverTaken().
+    virtual void sendHandover(const member &to, const order_handover &batch) = 0;
+
+    virtual void logEvent(std::string_view name, event_fields fields) = 0;
+    virtual void count(counter which, std::uint64_t amount) = 0;
+    virtual void observe(distribution which, milliseconds value) = 0;
+    virtual void recordSpan(const span_record &span) = 0;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/core/membership.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "figstair/core/clock_source.h"
+#include "figstair/core/member.h"
+#include "figstair/wire/datagram.h"
+
+namespace figstair {
+
+struct membership_settings
+{
+    milliseconds probeInterval {500};
+    milliseconds ackTimeout {200};
+    milliseconds suspicionTime {1500};
+    milliseconds zoneTimeout {2500};
+    std::size_t bridgesPerZone = 2;
+    std::size_t bridgedZonesPerProbe = 3;
+    std::size_t updatesPerMessage = 6;
+    std::size_t announceFanout = 4;
+};
+
+/// Receives what the membership wants sent.
+class membership_output
+{
+public:
+    virtual ~membership_output() = default;
+
+    /// Sends a ping, ack or pingRequest; the output fills in the table's revision.
+    virtual void sendGossip(datagram_type type, std::uint64_t sequence, const endpoint &to,
+                            gossip_message &message) = 0;
+
+    /// Asks @p from for all its member records, as the views differ.
+    virtual void requestMembers(const member &from) = 0;
+};
+
+/// SWIM in the host's own zone; between zones a few bridges, chosen by rendezvous hashing, watch
+/// whole zones and carry records. A state machine: events and time in, messages out.
+class membership
+{
+public:
+    membership(member self, const membership_settings &settings, const clock_source &clock,
+               std::uint64_t seed, membership_output &output);
+
+    void addSeed(const endpoint &seed);
+    void tick();
+    void onGossip(datagram_type type, std::uint64_t sequence, const endpoint &from,
+                  const gossip_message &message);
+    void mergeMembers(const std::vector<member> &members);
+
+    /// Tells others the host's own state at once.
+    void setOwnState(member_state state);
+
+    /// Sends a ping to a few hosts at once, so that a newer table or view spreads without waiting.
+    void announce();
+
+    const member &self() const { return m_self; }
+    const std::map<std::string, member> &members() const { return m_members; }
+    const member *find(const std::string &name) const;
+    const member *findIncarnation(std::uint64_t incarnation) const;
+
+    /// Hosts of @p zone that may be gates and whose zone can be reached, in the order of names.
+    const std::vector<const member *> &eligible(const std::string &zone) const;
+
+    /// Changes whenever eligible(zone) may answer otherwise.
+    std::uint64_t eligibleVersion(const std::string &zone) const;
+
+    /// Zones with at least one eligible host, in the order of names.
+    const std::vector<std::string> &eligibleZones() const;
+
+    /// Changes whenever any record or the reach of a zone changes.
+    std::uint64_t version() const { return m_version; }
+
+    bool zoneReachable(const std::string &zone) const;
+    bool isBridge() const;
+
+    /// When any other host last answered a ping of this one.
+    monotonic_time lastAck() const { return m_lastAck; }
+
+    /// Number of other hosts that are present.
+    std::size_t presentOthers() const;
+
+private:
+    struct pending_probe
+    {
+        std::string target;
+        monotonic_time sentAt {};
+        bool askedOthers = false;
+    };
+    struct relayed_probe
+    {
+        endpoint requester;
+        std::uint64_t requesterSequence = 0;
+    };
+    struct queued_update
+    {
+        std::string name;
+        int remaining = 0;
+    };
+
+    /// What follows from the records and is looked up often; built again when they change.
+    struct zone_index
+    {
+        std::uint64_t version = 0;
+        std::map<std::string, std::vector<const member *>> eligible;
+        std::map<std::string, std::uint64_t> eligibleVersion;
+        std::vector<std::string> eligibleZones;
+        std::map<std::string, std::vector<const member *>> bridges;
+        std::vector<std::string> otherZones;
+    };
+
+    void merge(const member &record);
+    void refute(const member &record);
+    void store(const member &record);
+    void mergeReach(const std::vector<zone_reach> &reach);
+    void queueUpdate(const std::string &name);
+    gossip_message compose(const std::string &receiver);
+    void send(datagram_type type, std::uint64_t sequence, const endpoint &to,
+              const std::string &receiver, const std::string &target = {});
+    void noteSender(const gossip_message &message, const endpoint &from);
+    void answerPing(std::uint64_t sequence, const endpoint &from, const std::string &sender);
+    void onAck(std::uint64_t sequence, const std::string &sender);
+    void probeNext();
+    void probe(const member &target);
+    void checkProbes();
+    void askOthers(std::uint64_t sequence, pending_probe &probe);
+    void checkSuspects();
+    void bridgeZones();
+    void judgeZones();
+    void probeAbsent();
+    const zone_index &index() const;
+    const std::vector<const member *> &bridgesOf(const std::string &zone) const;
+    std::uint64_t viewDigest() const;
+    void changed();
+
+    member m_self;
+    membership_settings m_settings;
+    const clock_source &m_clock;
+    std::mt19937_64 m_random;
+    membership_output &m_output;
+    std::map<std::string, member> m_members;
+    std::unordered_map<std::uint64_t, std::string> m_byIncarnation;
+    std::map<std::string, monotonic_time> m_stateSince;
+    std::vector<endpoint> m_seeds;
+    std::map<std::string, zone_reach> m_reach;
+    std::map<std::string, monotonic_time> m_contact;
+    std::vector<std::string> m_probeOrder;
+    std::size_t m_bridgeCursor = 0;
+    std::map<std::uint64_t, pending_probe> m_pending;
+    std::map<std::uint64_t, relayed_probe> m_relayed;
+    std::deque<queued_update> m_updates;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_version = 1;
+    mutable std::uint64_t m_viewDigest = 0;
+    mutable bool m_viewDigestValid = false;
+    monotonic_time m_nextProbe {};
+    monotonic_time m_nextSync {};
+    monotonic_time m_nextSuspectCheck {};
+    monotonic_time m_nextAbsentProbe {};
+    monotonic_time m_lastAck {};
+    mutable zone_index m_index;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/core/receiver.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "figstair/core/gate_role.h"
+#include "figstair/core/host_context.h"
+#include "figstair/core/placement.h"
+
+namespace figstair {
+
+/// The part of a host that takes datagrams from callers, as the fabric hands them over, and sends
+/// each to the gate of its flow's upstream. Keeps nothing about flows.
+class receiver
+{
+public:
+    receiver(host_context &context, gate_role &gates);
+
+    void onOpen(const endpoint &caller, const datagram &message);
+    void onRequest(const endpoint &caller, const datagram &message);
+    void onClose(const endpoint &caller, const datagram &message);
+
+private:
+    void openNew(const endpoint &caller, const datagram &message);
+    void passOn(const endpoint &caller, const datagram &message, datagram_type type,
+                const member *target);
+    void refuseToken(const endpoint &caller, const datagram &message, const token_error &error);
+    void rebind(const endpoint &caller, const datagram &message, flow_token token);
+    bool flowHasEnded(const flow_token &token, const upstream_entry *upstream) const;
+    const member *targetOf(const datagram &message, const flow_token &token,
+                           const upstream_entry *upstream) const;
+    std::uint64_t traceOf(const datagram &message);
+
+    host_context &m_context;
+    gate_role &m_gates;
+    placement m_placement;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/core/state_chart.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <boost/leaf/result.hpp>
+
+namespace figstair {
+
+/// Reports why a chart text cannot be interpreted.
+struct chart_error
+{
+    std::string problem;
+};
+
+/// An immutable state chart read from a flat SCXML subset: states with event transitions.
+class state_chart
+{
+public:
+    /// Parses @p text. Fails with chart_error when the text is not XML, names no initial state, or
+    /// has a transition to a state that does not exist.
+    static boost::leaf::result<state_chart> parse(std::string_view text);
+
+    const std::string &initial() const { return m_initial; }
+
+    /// Returns the state that follows @p state on @p event; the same state when no transition fits.
+    const std::string &next(const std::string &state, const std::string &event) const;
+
+private:
+    using transitions = std::map<std::string, std::string>;
+
+    std::string m_initial;
+    std::map<std::string, transitions> m_states;
+};
+
+/// A current position in a chart. The chart has to outlive it.
+class chart_position
+{
+public:
+    explicit chart_position(const state_chart &chart);
+
+    const std::string &state() const { return *m_state; }
+    bool is(std::string_view state) const { return *m_state == state; }
+
+    /// Takes the transition for @p event. Returns true when the state changed.
+    bool fire(const std::string &event);
+
+private:
+    const state_chart *m_chart;
+    const std::string *m_state;
+};
+
+/// The chart of a host's life, parsed once from the shipped text.
+const state_chart &hostChart();
+
+/// The chart of a gate's belief about one upstream, parsed once from the shipped text.
+const state_chart &upstreamChart();
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/host/event_log.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "figstair/core/clock_source.h"
+#include "figstair/core/host_output.h"
+
+namespace figstair {
+
+/// Writes one line of key=value pairs per event through glog, at a bounded rate per event name.
+class event_log
+{
+public:
+    event_log(std::string hostName, const clock_source &clock);
+
+    void write(std::string_view name, event_fields fields);
+
+private:
+    struct window
+    {
+        monotonic_time start {};
+        unsigned written = 0;
+        unsigned dropped = 0;
+    };
+
+    std::string m_hostName;
+    const clock_source &m_clock;
+    std::map<std::string, window, std::less<>> m_windows;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/host/span_log.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "figstair/core/host_output.h"
+
+namespace figstair {
+
+/// Keeps the newest spans of one host in bounded memory.
+class span_log
+{
+public:
+    explicit span_log(std::size_t capacity);
+
+    void add(const span_record &span);
+    std::vector<span_record> find(std::uint64_t traceId) const;
+
+private:
+    std::size_t m_capacity;
+    std::size_t m_next = 0;
+    std::vector<span_record> m_spans;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/platform/etcd_gateway_store.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+
+#include "figstair/core/clock_source.h"
+#include "figstair/core/endpoint.h"
+#include "figstair/platform/key_value_store.h"
+
+namespace figstair {
+
+/// Speaks the HTTP/JSON gateway protocol of etcd version 3 (range and txn). Calls block up to the
+/// timeout; use it from a thread that may wait.
+class etcd_gateway_store : public key_value_store
+{
+public:
+    etcd_gateway_store(const endpoint &where, milliseconds timeout);
+
+    boost::leaf::result<std::optional<stored_value>> get(const std::string &key) override;
+    boost::leaf::result<std::vector<stored_value>>
+    range(const std::string &first, const std::string &end, std::size_t limit) override;
+    boost::leaf::result<bool> putIfUnchanged(const std::string &key, std::int64_t modRevision,
+                                             const std::vector<stored_value> &puts) override;
+
+private:
+    boost::leaf::result<std::string> post(const std::string &path, const std::string &body);
+
+    endpoint m_where;
+    milliseconds m_timeout;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/src/cli/command_options.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+
+#include <boost/program_options.hpp>
+
+#include "figstair/cli/commands.h"
+
+namespace figstair {
+
+/// Reads @p words by @p options with one positional word. Prints the options for --help.
+/// Throws boost::program_options::error on a wrong command line.
+class command_options
+{
+public:
+    command_options(const arguments &words, boost::program_options::options_description options,
+                    const std::string &positional = {}, int positionalCount = 1);
+
+    bool helpWasPrinted() const { return m_helpWasPrinted; }
+    bool has(const std::string &name) const { return m_values.count(name) != 0; }
+
+    template <typename value> value get(const std::string &name) const
+    {
+        return m_values[name].as<value>();
+    }
+
+private:
+    boost::program_options::variables_map m_values;
+    bool m_helpWasPrinted = false;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,72 @@
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+#include <glog/logging.h>
+#include <sodium.h>
+
+#include "figstair/cli/commands.h"
+
+namespace {
+
+constexpr char usageText[] = R"(figstair: a layer-4 load balancer driven by a table
+
+Usage:
+  figstair host FILE.ini [--check-settings]   run one host
+  figstair table check FILE.csv               check a sheet
+  figstair table diff|apply|show|history ...  work with the table on the platform
+  figstair table rotate-key ...               add a key for flow tokens
+  figstair status --host IP:PORT ...          ask a running host
+  figstair replay FILE...                     replay recorded traces
+  figstair COMMAND --help                     options of one command
+  figstair --version
+)";
+
+int dispatch(const std::string &command, const figstair::arguments &words)
+{
+    if (command == "host") {
+        return figstair::runHost(words);
+    }
+    if (command == "table") {
+        return figstair::runTable(words);
+    }
+    if (command == "status") {
+        return figstair::runStatus(words);
+    }
+    if (command == "replay") {
+        return figstair::runReplay(words);
+    }
+    std::cerr << "figstair: unknown command '" << command << "'\n" << usageText;
+    return figstair::exitUsage;
+}
+
+} // namespace
+
+int main(int argumentCount, char **argumentValues)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argumentValues[0]);
+    if (sodium_init() < 0) {
+        std::cerr << "figstair: libsodium cannot be initialised\n";
+        return EXIT_FAILURE;
+    }
+    const figstair::arguments words(argumentValues + 1, argumentValues + argumentCount);
+    if (words.empty()) {
+        std::cerr << usageText;
+        return figstair::exitUsage;
+    }
+    if (words.front() == "--help") {
+        std::cout << usageText;
+        return figstair::exitDone;
+    }
+    if (words.front() == "--version") {
+        std::cout << "figstair " << FIGSTAIR_VERSION << "\n";
+        return figstair::exitDone;
+    }
+    try {
+        return dispatch(words.front(), {words.begin() + 1, words.end()});
+    } catch (const std::exception &error) {
+        std::cerr << "figstair " << words.front() << ": " << error.what() << "\n";
+        return figstair::exitUsage;
+    }
+}
--- /dev/null
+++ b/src/cli/status_command.cpp
@@ -0,0 +1,176 @@
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+#include <set>
+#include <thread>
+
+#include <boost/leaf.hpp>
+#include <nlohmann/json.hpp>
+
+#include "command_options.h"
+#include "figstair/cli/commands.h"
+#include "figstair/host/system_clock_source.h"
+#include "figstair/platform/http_client.h"
+
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
+using nlohmann::json;
+
+namespace figstair {
+namespace {
+
+constexpr milliseconds callTimeout {2000};
+constexpr milliseconds pollInterval {50};
+
+leaf::result<json> getJson(const endpoint &where, const std::string &path)
+{
+    BOOST_LEAF_AUTO(body, httpGet(where, path, callTimeout));
+    try {
+        return json::parse(body);
+    } catch (const json::exception &error) {
+        return leaf::new_error(http_error {toString(where), error.what()});
+    }
+}
+
+/// Status pages of all present hosts that @p status lists.
+std::set<endpoint> statusAddresses(const json &status)
+{
+    std::set<endpoint> addresses;
+    for (const json &host : status.at("members")) {
+        const auto state = host.at("state").get<std::string>();
+        auto where = parseEndpoint(host.at("address").get<std::string>());
+        if (where && state != "dead" && state != "left") {
+            where->port = host.at("status_port").get<std::uint16_t>();
+            addresses.insert(*where);
+        }
+    }
+    return addresses;
+}
+
+void printStatus(const json &status)
+{
+    std::cout << "host=" << status.at("host").get<std::string>()
+              << " zone=" << status.at("zone").get<std::string>()
+              << " life=" << status.at("life").get<std::string>()
+              << " revision=" << status.at("revision")
+              << " confirmed_age_ms=" << status.at("confirmed_age_ms") << "\n";
+    for (const json &host : status.at("members")) {
+        std::cout << "member=" << host.at("name").get<std::string>()
+                  << " zone=" << host.at("zone").get<std::string>()
+                  << " state=" << host.at("state").get<std::string>() << "\n";
+    }
+    for (const json &gate : status.at("gates")) {
+        std::cout << "gate=" << gate.at("upstream").get<std::string>()
+                  << " phase=" << gate.at("phase").get<std::string>()
+                  << " limit=" << gate.at("limit") << " running=" << gate.at("running")
+                  << " waiting=" << gate.at("waiting") << " flows=" << gate.at("flows") << "\n";
+    }
+    for (const auto &[name, value] : status.at("counters").items()) {
+        if (value.get<std::uint64_t>() > 0) {
+            std::cout << "count." << name << "=" << value << "\n";
+        }
+    }
+}
+
+leaf::result<int> showTrace(const endpoint &where, const std::string &traceId)
+{
+    BOOST_LEAF_AUTO(status, getJson(where, "/status"));
+    json spans = json::array();
+    for (const endpoint &host : statusAddresses(status)) {
+        const json part = leaf::try_handle_all(
+            [&] { return getJson(host, "/trace?id=" + traceId); }, [] { return json::array(); });
+        spans.insert(spans.end(), part.begin(), part.end());
+    }
+    for (const json &span : spans) {
+        std::cout << "trace=" << span.at("trace").get<std::string>()
+                  << " span=" << span.at("span").get<std::string>()
+                  << " parent=" << span.at("parent").get<std::string>()
+                  << " host=" << span.at("host").get<std::string>()
+                  << " name=" << span.at("name").get<std::string>()
+                  << " start_ms=" << span.at("start_ms")
+                  << " duration_ms=" << span.at("duration_ms")
+                  << " upstream_id=" << span.at("upstream_id") << "\n";
+    }
+    return spans.empty() ? exitDiffers : exitDone;
+}
+
+/// True when every present host that @p where knows serves with at least @p revision.
+bool isInForce(const endpoint &where, std::uint64_t revision)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(status, getJson(where, "/status"));
+            for (const endpoint &host : statusAddresses(status)) {
+                BOOST_LEAF_AUTO(hostStatus, getJson(host, "/status"));
+                if (hostStatus.at("revision").get<std::uint64_t>() < revision
+                    || hostStatus.at("life").get<std::string>() == "joining") {
+                    return false;
+                }
+            }
+            return true;
+        },
+        [] { return false; });
+}
+
+int waitForRevision(const endpoint &where, std::uint64_t revision, milliseconds timeout)
+{
+    const system_clock_source clock;
+    const monotonic_time start = clock.monotonic();
+    while (!isInForce(where, revision)) {
+        if (clock.monotonic() - start > timeout) {
+            std::cerr << "revision " << revision << " is not in force everywhere\n";
+            return exitUnreachable;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    std::cout << "revision=" << revision
+              << " in_force_after_ms=" << (clock.monotonic() - start).count() << "\n";
+    return exitDone;
+}
+
+} // namespace
+
+int runStatus(const arguments &words)
+{
+    po::options_description description("figstair status --host IP:PORT");
+    description.add_options()("host", po::value<std::string>()->required(),
+                              "address of a host's status page")(
+        "trace", po::value<std::string>(), "show the spans of a trace, from all hosts")(
+        "metrics", "show metrics in the Prometheus text format")(
+        "wait-revision", po::value<std::uint64_t>(), "wait until it is in force everywhere")(
+        "timeout-ms", po::value<std::int64_t>()->default_value(15000), "longest wait");
+    const command_options options(words, description);
+    if (options.helpWasPrinted()) {
+        return exitDone;
+    }
+    const auto where = parseEndpoint(options.get<std::string>("host"));
+    if (!where) {
+        std::cerr << "--host: expected an IP address and port such as 10.0.0.1:7200\n";
+        return exitUsage;
+    }
+    if (options.has("wait-revision")) {
+        return waitForRevision(*where, options.get<std::uint64_t>("wait-revision"),
+                               milliseconds(options.get<std::int64_t>("timeout-ms")));
+    }
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            if (options.has("trace")) {
+                return showTrace(*where, options.get<std::string>("trace"));
+            }
+            if (options.has("metrics")) {
+                BOOST_LEAF_AUTO(text, httpGet(*where, "/metrics", callTimeout));
+                std::cout << text;
+                return exitDone;
+            }
+            BOOST_LEAF_AUTO(status, getJson(*where, "/status"));
+            printStatus(status);
+            return exitDone;
+        },
+        [](const http_error &error) {
+            std::cerr << error.where << ": " << error.problem << "\n";
+            return static_cast<int>(exitUnreachable);
+        },
+        [] { return static_cast<int>(exitUnreachable); });
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/cli/table_command.cpp
@@ -0,0 +1,342 @@
+#include <array>
+#include <functional>
+#include <iomanip>
+#include <iostream>
+#include <map>
+
+#include <boost/leaf.hpp>
+#include <sodium.h>
+
+#include "command_options.h"
+#include "figstair/cli/commands.h"
+#include "figstair/core/flow_token.h"
+#include "figstair/host/process_settings.h"
+#include "figstair/host/system_clock_source.h"
+#include "figstair/platform/etcd_gateway_store.h"
+#include "figstair/platform/table_store.h"
+#include "figstair/table/change_planner.h"
+#include "figstair/table/sheet.h"
+
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
+
+namespace figstair {
+namespace {
+
+constexpr int applyAttempts = 8;
+constexpr std::size_t editIdBytes = 16;
+
+/// How long a host that hears from nobody may go on with an old table.
+constexpr milliseconds longestStaleness {6 * 3600 * 1000};
+
+std::string makeEditId()
+{
+    std::array<unsigned char, editIdBytes> bytes {};
+    randombytes_buf(bytes.data(), bytes.size());
+    std::array<char, editIdBytes * 2 + 1> text {};
+    sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
+    return text.data();
+}
+
+milliseconds quarantine(const process_settings &settings)
+{
+    return settings.host.tokenLife + longestStaleness;
+}
+
+leaf::result<process_settings> loadSettings(const std::string &fileName)
+{
+    BOOST_LEAF_AUTO(text, readTextFile(fileName));
+    return parseSettings(fileName, text);
+}
+
+leaf::result<sheet> loadSheet(const std::string &fileName)
+{
+    BOOST_LEAF_AUTO(text, readTextFile(fileName));
+    return parseSheet(fileName, text);
+}
+
+/// Runs @p action and turns every layer's errors into a message and an exit code.
+int report(const std::function<leaf::result<int>()> &action)
+{
+    const auto fail = [](int code, const std::string &text) {
+        std::cerr << text << "\n";
+        return code;
+    };
+    return leaf::try_handle_all(
+        action, [&](const settings_error &error) { return fail(exitBadInput, toText(error)); },
+        [&](const sheet_error &error) { return fail(exitBadInput, toText(error)); },
+        [&](const edit_conflict &conflict) {
+            std::string text = "conflict: the sheet was taken at revision "
+                + std::to_string(conflict.baseRevision) + "; by revision "
+                + std::to_string(conflict.currentRevision) + " others changed the same rows:";
+            for (const std::string &key : conflict.rowKeys) {
+                text += "\n  " + key;
+            }
+            return fail(exitConflict, text);
+        },
+        [&](const address_in_quarantine &error) {
+            return fail(exitConflict,
+                        "address " + error.address + " is reserved for service " + error.service
+                            + " for another " + std::to_string(error.remaining.count())
+                            + " ms, as packets of its flows may still be on their way");
+        },
+        [&](const platform_error &error) {
+            return fail(exitPlatform, "platform: " + error.call + ": " + error.problem);
+        },
+        [&](const stored_table_error &error) {
+            return fail(exitPlatform, "platform: " + error.key + ": " + error.problem);
+        },
+        [&](const chain_error &error) {
+            return fail(exitPlatform,
+                        "platform: revision " + std::to_string(error.offeredRevision) + " "
+                            + error.problem);
+        },
+        [&] { return fail(exitPlatform, "unexpected error"); });
+}
+
+void printChanges(const std::vector<row_change> &changes)
+{
+    for (const row_change &change : changes) {
+        const bool isRemoval = change.purge || change.row.state == row_state::retired;
+        std::cout << (isRemoval ? "remove " : "put    ") << rowKey(change.row);
+        if (!isRemoval) {
+            const std::vector<std::string> cells = toSheetCells(change.row);
+            for (std::size_t index = 1; index < cells.size(); ++index) {
+                if (!cells[index].empty()) {
+                    std::cout << " " << sheetColumns()[index] << "=" << cells[index];
+                }
+            }
+        }
+        std::cout << "\n";
+    }
+}
+
+/// One operator's session with the platform.
+class table_session
+{
+public:
+    explicit table_session(process_settings settings)
+        : m_settings(std::move(settings))
+        , m_values(m_settings.platform, m_settings.platformTimeout)
+        , m_store(m_values)
+    {
+    }
+
+    leaf::result<int> diff(const sheet &wanted)
+    {
+        BOOST_LEAF_AUTO(current, m_store.loadTable());
+        BOOST_LEAF_AUTO(changes, plan(wanted, current));
+        printChanges(changes);
+        return changes.empty() ? exitDone : exitDiffers;
+    }
+
+    leaf::result<int> apply(const sheet &wanted, const std::string &author)
+    {
+        return commitRepeatedly(author,
+                                [&](const table &current) { return plan(wanted, current); });
+    }
+
+    leaf::result<int> rotateKey(const std::string &author)
+    {
+        return commitRepeatedly(
+            author, [&](const table &current) -> leaf::result<std::vector<row_change>> {
+                return planner().planKey(current, makeSealedKey(m_settings.host.peerSecret));
+            });
+    }
+
+    leaf::result<int> show(std::uint64_t revision)
+    {
+        BOOST_LEAF_AUTO(current, m_store.loadTable(revision));
+        std::cout << formatSheet(current.revision(), current.rows());
+        return exitDone;
+    }
+
+    leaf::result<int> history(std::uint64_t count)
+    {
+        BOOST_LEAF_AUTO(head, m_store.loadHead());
+        const std::uint64_t first = head.revision - std::min(head.revision, count);
+        BOOST_LEAF_AUTO(edits, m_store.loadEdits(first, count));
+        for (const table_edit &edit : edits) {
+            std::cout << "revision=" << edit.revision
+                      << " at_ms=" << edit.acceptedAt.time_since_epoch().count()
+                      << " author=" << edit.author << " edit=" << edit.editId
+                      << " changes=" << edit.changes.size() << "\n";
+        }
+        return exitDone;
+    }
+
+private:
+    using change_source =
+        std::function<leaf::result<std::vector<row_change>>(const table &current)>;
+
+    change_planner planner() const
+    {
+        return change_planner(m_clock.wall(), quarantine(m_settings));
+    }
+
+    leaf::result<std::vector<row_change>> plan(const sheet &wanted, const table &current)
+    {
+        if (wanted.baseRevision == current.revision()) {
+            return planner().plan(wanted, current, current);
+        }
+        table base;
+        if (wanted.baseRevision > 0) {
+            BOOST_LEAF_ASSIGN(base, m_store.loadTable(wanted.baseRevision));
+        }
+        return planner().plan(wanted, base, current);
+    }
+
+    leaf::result<int> commitRepeatedly(const std::string &author, const change_source &source)
+    {
+        const std::string editId = makeEditId();
+        for (int attempt = 0; attempt < applyAttempts; ++attempt) {
+            BOOST_LEAF_AUTO(head, m_store.loadHead());
+            BOOST_LEAF_AUTO(current, m_store.loadTable());
+            if (current.revision() != head.revision) {
+                continue;
+            }
+            BOOST_LEAF_AUTO(changes, source(current));
+            if (changes.empty()) {
+                std::cout << "revision=" << current.revision() << " changes=0\n";
+                return exitDone;
+            }
+            addFirstKey(current, changes);
+            table_edit edit {current.revision() + 1, current.digest(),  editId, author,
+                             m_clock.wall(),         std::move(changes)};
+            BOOST_LEAF_AUTO(outcome, m_store.commit(head, edit));
+            if (outcome == commit_outcome::accepted) {
+                printChanges(edit.changes);
+                std::cout << "revision=" << edit.revision << " changes=" << edit.changes.size()
+                          << "\n";
+                BOOST_LEAF_AUTO(accepted, m_store.loadTable(edit.revision));
+                BOOST_LEAF_CHECK(m_store.saveSnapshotIfDue(accepted));
+                return exitDone;
+            }
+        }
+        return leaf::new_error(platform_error {"txn", "others changed the table each time"});
+    }
+
+    void addFirstKey(const table &current, std::vector<row_change> &changes) const
+    {
+        const bool hasKey =
+            std::any_of(changes.begin(), changes.end(),
+                        [](const row_change &change) { return change.row.kind == row_kind::key; });
+        if (current.keys().empty() && !hasKey) {
+            const auto keys = planner().planKey(current, makeSealedKey(m_settings.host.peerSecret));
+            changes.push_back(keys.front());
+        }
+    }
+
+    process_settings m_settings;
+    system_clock_source m_clock;
+    etcd_gateway_store m_values;
+    table_store m_store;
+};
+
+int runOnSheet(const arguments &words, const std::string &title, bool isApply)
+{
+    po::options_description description(title);
+    description.add_options()("file", po::value<std::string>()->required(), "sheet")(
+        "settings", po::value<std::string>()->required(), "settings file of any host")(
+        "author", po::value<std::string>()->default_value("operator"), "kept in the history");
+    const command_options options(words, description, "file");
+    if (options.helpWasPrinted()) {
+        return exitDone;
+    }
+    return report([&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(settings, loadSettings(options.get<std::string>("settings")));
+        BOOST_LEAF_AUTO(wanted, loadSheet(options.get<std::string>("file")));
+        table_session session(settings);
+        return isApply ? session.apply(wanted, options.get<std::string>("author"))
+                       : session.diff(wanted);
+    });
+}
+
+int runCheck(const arguments &words)
+{
+    po::options_description description("figstair table check FILE.csv");
+    description.add_options()("file", po::value<std::string>()->required(), "sheet");
+    const command_options options(words, description, "file");
+    if (options.helpWasPrinted()) {
+        return exitDone;
+    }
+    return report([&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(read, loadSheet(options.get<std::string>("file")));
+        std::cout << read.fileName << ": " << read.rows.size() << " rows are valid\n";
+        return exitDone;
+    });
+}
+
+int runDiff(const arguments &words)
+{
+    return runOnSheet(words, "figstair table diff FILE.csv", false);
+}
+
+int runApply(const arguments &words)
+{
+    return runOnSheet(words, "figstair table apply FILE.csv", true);
+}
+
+int runOnPlatform(
+    const arguments &words, const std::string &title,
+    const std::function<leaf::result<int>(table_session &, const command_options &)> &action)
+{
+    po::options_description description(title);
+    description.add_options()("settings", po::value<std::string>()->required(),
+                              "settings file of any host")(
+        "revision", po::value<std::uint64_t>()->default_value(0), "show: revision; 0 for newest")(
+        "last", po::value<std::uint64_t>()->default_value(20), "history: number of edits")(
+        "author", po::value<std::string>()->default_value("operator"), "kept in the history");
+    const command_options options(words, description);
+    if (options.helpWasPrinted()) {
+        return exitDone;
+    }
+    return report([&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(settings, loadSettings(options.get<std::string>("settings")));
+        table_session session(settings);
+        return action(session, options);
+    });
+}
+
+int runShow(const arguments &words)
+{
+    return runOnPlatform(words, "figstair table show",
+                         [](table_session &session, const command_options &options) {
+                             return session.show(options.get<std::uint64_t>("revision"));
+                         });
+}
+
+int runHistory(const arguments &words)
+{
+    return runOnPlatform(words, "figstair table history",
+                         [](table_session &session, const command_options &options) {
+                             return session.history(options.get<std::uint64_t>("last"));
+                         });
+}
+
+int runRotateKey(const arguments &words)
+{
+    return runOnPlatform(words, "figstair table rotate-key",
+                         [](table_session &session, const command_options &options) {
+                             return session.rotateKey(options.get<std::string>("author"));
+                         });
+}
+
+} // namespace
+
+int runTable(const arguments &words)
+{
+    static const std::map<std::string, int (*)(const arguments &)> actions {
+        {"check", runCheck}, {"diff", runDiff},       {"apply", runApply},
+        {"show", runShow},   {"history", runHistory}, {"rotate-key", runRotateKey}};
+    const auto action = words.empty() ? actions.end() : actions.find(words.front());
+    const bool isHelp = !words.empty() && words.front() == "--help";
+    if (action == actions.end()) {
+        std::ostream &out = isHelp ? std::cout : std::cerr;
+        out << "figstair table check|diff|apply|show|history|rotate-key [--help]\n";
+        return isHelp ? exitDone : exitUsage;
+    }
+    return action->second({words.begin() + 1, words.end()});
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/core/endpoint.cpp
@@ -0,0 +1,56 @@
+#include "figstair/core/endpoint.h"
+
+#include <charconv>
+#include <cstring>
+
+#include <boost/asio/ip/address.hpp>
+#include <xxhash.h>
+
+namespace ip = boost::asio::ip;
+
+namespace figstair {
+
+std::uint64_t addressHash(const endpoint &where)
+{
+    return XXH3_64bits(where.address.data(), where.address.size());
+}
+
+std::optional<endpoint> parseEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return std::nullopt;
+    }
+    std::string_view host = text.substr(0, colon);
+    const std::string_view portText = text.substr(colon + 1);
+    if (host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    endpoint where;
+    const char *portEnd = portText.data() + portText.size();
+    const auto [rest, status] = std::from_chars(portText.data(), portEnd, where.port);
+    if (status != std::errc {} || rest != portEnd || portText.empty()) {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    const ip::address address = ip::make_address(std::string(host), error);
+    if (error) {
+        return std::nullopt;
+    }
+    const ip::address_v6 wide =
+        address.is_v4() ? ip::make_address_v6(ip::v4_mapped, address.to_v4()) : address.to_v6();
+    where.address = wide.to_bytes();
+    return where;
+}
+
+std::string toString(const endpoint &where)
+{
+    const ip::address_v6 wide(where.address);
+    const std::string port = std::to_string(where.port);
+    if (wide.is_v4_mapped()) {
+        return ip::make_address_v4(ip::v4_mapped, wide).to_string() + ":" + port;
+    }
+    return "[" + wide.to_string() + "]:" + port;
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,557 @@
+#include "figstair/core/membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+#include "figstair/core/rendezvous.h"
+
+namespace figstair {
+namespace {
+
+constexpr std::size_t indirectProbes = 2;
+constexpr int retransmitFactor = 3;
+constexpr milliseconds syncInterval {3000};
+constexpr milliseconds absentProbeInterval {1000};
+constexpr milliseconds absentMemory {600000};
+constexpr std::size_t maxRelayedProbes = 256;
+
+std::uint64_t recordHash(const member &host)
+{
+    const std::uint64_t mixed = host.incarnation * 0x9E3779B97F4A7C15ULL
+        ^ (std::uint64_t {host.refutation} << 8) ^ static_cast<std::uint64_t>(host.state);
+    return XXH3_64bits_withSeed(host.name.data(), host.name.size(), mixed);
+}
+
+} // namespace
+
+membership::membership(member self, const membership_settings &settings, const clock_source &clock,
+                       std::uint64_t seed, membership_output &output)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_clock(clock)
+    , m_random(seed)
+    , m_output(output)
+    , m_nextProbe(clock.monotonic())
+{
+    store(m_self);
+}
+
+void membership::addSeed(const endpoint &seed)
+{
+    if (seed != m_self.address) {
+        m_seeds.push_back(seed);
+    }
+}
+
+void membership::tick()
+{
+    checkProbes();
+    checkSuspects();
+    const monotonic_time now = m_clock.monotonic();
+    if (now >= m_nextProbe) {
+        m_nextProbe = now + m_settings.probeInterval;
+        probeNext();
+        bridgeZones();
+    }
+    if (now >= m_nextAbsentProbe) {
+        m_nextAbsentProbe = now + absentProbeInterval;
+        probeAbsent();
+    }
+    judgeZones();
+}
+
+void membership::onGossip(datagram_type type, std::uint64_t sequence, const endpoint &from,
+                          const gossip_message &message)
+{
+    for (const member &record : message.updates) {
+        merge(record);
+    }
+    noteSender(message, from);
+    if (type == datagram_type::ping) {
+        answerPing(sequence, from, message.sender);
+    } else if (type == datagram_type::ack) {
+        onAck(sequence, message.sender);
+    } else if (type == datagram_type::pingRequest) {
+        const member *target = find(message.target);
+        if (target != nullptr && m_relayed.size() < maxRelayedProbes) {
+            m_relayed[++m_sequence] = relayed_probe {from, sequence};
+            send(datagram_type::ping, m_sequence, target->address, target->name);
+        }
+    }
+}
+
+void membership::mergeMembers(const std::vector<member> &members)
+{
+    for (const member &record : members) {
+        merge(record);
+    }
+}
+
+void membership::setOwnState(member_state state)
+{
+    if (m_self.state == state) {
+        return;
+    }
+    m_self.state = state;
+    ++m_self.refutation;
+    store(m_self);
+    queueUpdate(m_self.name);
+    announce();
+}
+
+void membership::announce()
+{
+    std::vector<const member *> targets;
+    for (const auto &[name, host] : m_members) {
+        if (name != m_self.name && host.zone == m_self.zone && isPresent(host.state)) {
+            targets.push_back(&host);
+        }
+    }
+    std::shuffle(targets.begin(), targets.end(), m_random);
+    targets.resize(std::min(targets.size(), m_settings.announceFanout));
+    if (isBridge()) {
+        for (const std::string &zone : index().otherZones) {
+            const std::vector<const member *> &bridges = bridgesOf(zone);
+            if (!bridges.empty()) {
+                targets.push_back(bridges[m_random() % bridges.size()]);
+            }
+        }
+    }
+    for (const member *target : targets) {
+        send(datagram_type::ping, ++m_sequence, target->address, target->name);
+    }
+}
+
+const member *membership::find(const std::string &name) const
+{
+    const auto found = m_members.find(name);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+const member *membership::findIncarnation(std::uint64_t incarnation) const
+{
+    const auto found = m_byIncarnation.find(incarnation);
+    return found == m_byIncarnation.end() ? nullptr : find(found->second);
+}
+
+const std::vector<const member *> &membership::eligible(const std::string &zone) const
+{
+    static const std::vector<const member *> none;
+    const auto &hosts = index().eligible;
+    const auto found = hosts.find(zone);
+    return found == hosts.end() ? none : found->second;
+}
+
+std::uint64_t membership::eligibleVersion(const std::string &zone) const
+{
+    const auto &versions = index().eligibleVersion;
+    const auto found = versions.find(zone);
+    return found == versions.end() ? 0 : found->second;
+}
+
+const std::vector<std::string> &membership::eligibleZones() const
+{
+    return index().eligibleZones;
+}
+
+bool membership::zoneReachable(const std::string &zone) const
+{
+    const auto found = m_reach.find(zone);
+    return found == m_reach.end() || found->second.reachable;
+}
+
+bool membership::isBridge() const
+{
+    const std::vector<const member *> &bridges = bridgesOf(m_self.zone);
+    return std::any_of(bridges.begin(), bridges.end(),
+                       [this](const member *host) { return host->name == m_self.name; });
+}
+
+std::size_t membership::presentOthers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_members.begin(), m_members.end(), [this](const auto &item) {
+            return item.first != m_self.name && isPresent(item.second.state);
+        }));
+}
+
+void membership::merge(const member &record)
+{
+    if (record.name == m_self.name) {
+        refute(record);
+        return;
+    }
+    const auto known = m_members.find(record.name);
+    if (known != m_members.end() && !supersedes(record, known->second)) {
+        return;
+    }
+    store(record);
+    queueUpdate(record.name);
+}
+
+void membership::refute(const member &record)
+{
+    if (record.incarnation == m_self.incarnation && supersedes(record, m_self)) {
+        m_self.refutation = record.refutation + 1;
+        store(m_self);
+        queueUpdate(m_self.name);
+    }
+}
+
+void membership::store(const member &record)
+{
+    member &slot = m_members[record.name];
+    if (slot.incarnation != record.incarnation) {
+        m_byIncarnation.erase(slot.incarnation);
+    }
+    slot = record;
+    m_byIncarnation[record.incarnation] = record.name;
+    m_stateSince[record.name] = m_clock.monotonic();
+    changed();
+}
+
+void membership::mergeReach(const std::vector<zone_reach> &reach)
+{
+    for (const zone_reach &item : reach) {
+        zone_reach &known = m_reach[item.zone];
+        const bool newer = item.version > known.version
+            || (item.version == known.version && item.reachable && !known.reachable);
+        if (newer) {
+            known = item;
+            changed();
+        }
+    }
+}
+
+void membership::queueUpdate(const std::string &name)
+{
+    const int count =
+        retransmitFactor * static_cast<int>(std::ceil(std::log2(m_members.size() + 1.0)));
+    for (queued_update &update : m_updates) {
+        if (update.name == name) {
+            update.remaining = count;
+            return;
+        }
+    }
+    m_updates.push_front(queued_update {name, count});
+}
+
+gossip_message membership::compose(const std::string &receiver)
+{
+    gossip_message message;
+    message.sender = m_self.name;
+    message.viewDigest = viewDigest();
+    message.updates.push_back(m_self);
+    const member *receiving = find(receiver);
+    if (receiving != nullptr && !mayBeGate(receiving->state)) {
+        // The receiver has to see what is said of it to refute it.
+        message.updates.push_back(*receiving);
+    }
+    const std::size_t limit = std::min(m_settings.updatesPerMessage, m_updates.size());
+    for (std::size_t index = 0; index < limit; ++index) {
+        queued_update update = m_updates.front();
+        m_updates.pop_front();
+        const member *record = find(update.name);
+        if (record != nullptr && record->name != m_self.name && record->name != receiver) {
+            message.updates.push_back(*record);
+        }
+        if (--update.remaining > 0) {
+            m_updates.push_back(update);
+        }
+    }
+    if (receiving != nullptr && receiving->zone == m_self.zone) {
+        for (const auto &[zone, reach] : m_reach) {
+            if (reach.version > 0) {
+                message.reach.push_back(reach);
+            }
+        }
+        if (isBridge()) {
+            const monotonic_time now = m_clock.monotonic();
+            for (const auto &[zone, last] : m_contact) {
+                message.contacts.push_back(
+                    zone_contact {zone, static_cast<std::uint32_t>((now - last).count())});
+            }
+        }
+    }
+    return message;
+}
+
+void membership::send(datagram_type type, std::uint64_t sequence, const endpoint &to,
+                      const std::string &receiver, const std::string &target)
+{
+    gossip_message message = compose(receiver);
+    message.target = target;
+    m_output.sendGossip(type, sequence, to, message);
+}
+
+void membership::noteSender(const gossip_message &message, const endpoint &from)
+{
+    const member *sender = find(message.sender);
+    if (sender == nullptr || sender->address != from) {
+        return;
+    }
+    const monotonic_time now = m_clock.monotonic();
+    if (sender->zone == m_self.zone) {
+        mergeReach(message.reach);
+        for (const zone_contact &contact : message.contacts) {
+            monotonic_time &last = m_contact[contact.zone];
+            last = std::max(last, now - milliseconds(contact.ageMs));
+        }
+    } else {
+        m_contact[sender->zone] = now;
+    }
+    if (message.viewDigest != viewDigest() && now >= m_nextSync) {
+        m_nextSync = now + syncInterval;
+        m_output.requestMembers(*sender);
+    }
+}
+
+void membership::answerPing(std::uint64_t sequence, const endpoint &from, const std::string &sender)
+{
+    send(datagram_type::ack, sequence, from, sender);
+}
+
+void membership::onAck(std::uint64_t sequence, const std::string &sender)
+{
+    m_lastAck = m_clock.monotonic();
+    const auto relayed = m_relayed.find(sequence);
+    if (relayed != m_relayed.end()) {
+        send(datagram_type::ack, relayed->second.requesterSequence, relayed->second.requester, "",
+             sender);
+        m_relayed.erase(relayed);
+    }
+    m_pending.erase(sequence);
+}
+
+void membership::probeNext()
+{
+    if (m_probeOrder.empty()) {
+        for (const auto &[name, host] : m_members) {
+            if (name != m_self.name && host.zone == m_self.zone && isPresent(host.state)) {
+                m_probeOrder.push_back(name);
+            }
+        }
+        std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
+    }
+    if (m_probeOrder.empty()) {
+        return;
+    }
+    const member *target = find(m_probeOrder.back());
+    m_probeOrder.pop_back();
+    if (target != nullptr && isPresent(target->state)) {
+        probe(*target);
+    }
+}
+
+void membership::probe(const member &target)
+{
+    m_pending[++m_sequence] = pending_probe {target.name, m_clock.monotonic(), false};
+    send(datagram_type::ping, m_sequence, target.address, target.name);
+}
+
+void membership::checkProbes()
+{
+    const monotonic_time now = m_clock.monotonic();
+    for (auto item = m_pending.begin(); item != m_pending.end();) {
+        pending_probe &probe = item->second;
+        const milliseconds waited = now - probe.sentAt;
+        if (waited >= 2 * m_settings.ackTimeout) {
+            const member *target = find(probe.target);
+            if (target != nullptr && isPresent(target->state)
+                && target->state != member_state::suspect) {
+                member record = *target;
+                const bool isLeaving = record.state == member_state::leaving;
+                record.state = isLeaving ? member_state::left : member_state::suspect;
+                merge(record);
+            }
+            item = m_pending.erase(item);
+            continue;
+        }
+        if (waited >= m_settings.ackTimeout && !probe.askedOthers) {
+            askOthers(item->first, probe);
+        }
+        ++item;
+    }
+    while (m_relayed.size() >= maxRelayedProbes) {
+        m_relayed.erase(m_relayed.begin());
+    }
+}
+
+void membership::askOthers(std::uint64_t sequence, pending_probe &probe)
+{
+    probe.askedOthers = true;
+    std::vector<const member *> helpers;
+    for (const auto &[name, host] : m_members) {
+        const bool canHelp = host.zone == m_self.zone && host.state == member_state::alive;
+        if (canHelp && name != m_self.name && name != probe.target) {
+            helpers.push_back(&host);
+        }
+    }
+    std::shuffle(helpers.begin(), helpers.end(), m_random);
+    helpers.resize(std::min(helpers.size(), indirectProbes));
+    for (const member *helper : helpers) {
+        send(datagram_type::pingRequest, sequence, helper->address, helper->name, probe.target);
+    }
+}
+
+void membership::checkSuspects()
+{
+    const monotonic_time now = m_clock.monotonic();
+    if (now < m_nextSuspectCheck) {
+        return;
+    }
+    m_nextSuspectCheck = now + m_settings.ackTimeout;
+    std::vector<member> expired;
+    for (const auto &[name, host] : m_members) {
+        const milliseconds age = now - m_stateSince[name];
+        if (host.state == member_state::suspect && host.zone == m_self.zone
+            && age >= m_settings.suspicionTime) {
+            expired.push_back(host);
+        }
+        if (!isPresent(host.state) && age >= absentMemory) {
+            expired.push_back(host);
+        }
+    }
+    for (member &host : expired) {
+        if (isPresent(host.state)) {
+            host.state = member_state::dead;
+            merge(host);
+        } else {
+            m_byIncarnation.erase(host.incarnation);
+            m_stateSince.erase(host.name);
+            m_members.erase(host.name);
+            changed();
+        }
+    }
+}
+
+void membership::bridgeZones()
+{
+    if (!isBridge()) {
+        return;
+    }
+    const std::vector<const member *> peers = bridgesOf(m_self.zone);
+    for (const member *bridge : peers) {
+        if (bridge->name != m_self.name) {
+            send(datagram_type::ping, ++m_sequence, bridge->address, bridge->name);
+        }
+    }
+    const std::vector<std::string> zones = index().otherZones;
+    const std::size_t count = std::min(zones.size(), m_settings.bridgedZonesPerProbe);
+    for (std::size_t index = 0; index < count; ++index) {
+        const std::string &zone = zones[m_bridgeCursor++ % zones.size()];
+        const std::vector<const member *> &targets = bridgesOf(zone);
+        if (!targets.empty()) {
+            const member *target = targets[m_random() % targets.size()];
+            send(datagram_type::ping, ++m_sequence, target->address, target->name);
+        }
+    }
+}
+
+void membership::judgeZones()
+{
+    if (!isBridge()) {
+        return;
+    }
+    const monotonic_time now = m_clock.monotonic();
+    const std::vector<std::string> zones = index().otherZones;
+    const std::size_t rounds = zones.size() / m_settings.bridgedZonesPerProbe;
+    const milliseconds patience =
+        m_settings.zoneTimeout + m_settings.probeInterval * static_cast<int>(rounds);
+    for (const std::string &zone : zones) {
+        const auto contact = m_contact.emplace(zone, now).first;
+        const bool reachable = now - contact->second < patience;
+        zone_reach &known = m_reach[zone];
+        if (known.reachable != reachable) {
+            known = zone_reach {zone, known.version + 1, reachable};
+            changed();
+            announce();
+        }
+    }
+}
+
+void membership::probeAbsent()
+{
+    std::vector<endpoint> targets = m_seeds;
+    for (const auto &[name, host] : m_members) {
+        const bool unreachable = host.zone != m_self.zone && !zoneReachable(host.zone);
+        if (name != m_self.name && (!isPresent(host.state) || unreachable)) {
+            targets.push_back(host.address);
+        }
+    }
+    if (!targets.empty()) {
+        const endpoint &target = targets[m_random() % targets.size()];
+        std::string receiver;
+        for (const auto &[name, host] : m_members) {
+            if (host.address == target) {
+                receiver = name;
+            }
+        }
+        send(datagram_type::ping, ++m_sequence, target, receiver);
+    }
+}
+
+const membership::zone_index &membership::index() const
+{
+    if (m_index.version == m_version) {
+        return m_index;
+    }
+    m_index = zone_index {};
+    m_index.version = m_version;
+    std::map<std::string, std::vector<std::pair<std::uint64_t, const member *>>> present;
+    for (const auto &[name, host] : m_members) {
+        if (mayBeGate(host.state) && zoneReachable(host.zone)) {
+            m_index.eligible[host.zone].push_back(&host);
+            m_index.eligibleVersion[host.zone] += XXH3_64bits(name.data(), name.size());
+        }
+        auto &scored = present[host.zone];
+        if (isPresent(host.state)) {
+            const std::uint64_t key = XXH3_64bits(host.zone.data(), host.zone.size());
+            scored.emplace_back(rendezvousScore(key, name), &host);
+        }
+    }
+    for (const auto &[zone, hosts] : m_index.eligible) {
+        m_index.eligibleZones.push_back(zone);
+    }
+    for (auto &[zone, scored] : present) {
+        std::sort(scored.rbegin(), scored.rend());
+        scored.resize(std::min(scored.size(), m_settings.bridgesPerZone));
+        for (const auto &[score, host] : scored) {
+            m_index.bridges[zone].push_back(host);
+        }
+        if (zone != m_self.zone) {
+            m_index.otherZones.push_back(zone);
+        }
+    }
+    return m_index;
+}
+
+const std::vector<const member *> &membership::bridgesOf(const std::string &zone) const
+{
+    static const std::vector<const member *> none;
+    const auto &bridges = index().bridges;
+    const auto found = bridges.find(zone);
+    return found == bridges.end() ? none : found->second;
+}
+
+std::uint64_t membership::viewDigest() const
+{
+    if (!m_viewDigestValid) {
+        m_viewDigest = 0;
+        for (const auto &[name, host] : m_members) {
+            m_viewDigest ^= recordHash(host);
+        }
+        m_viewDigestValid = true;
+    }
+    return m_viewDigest;
+}
+
+void membership::changed()
+{
+    ++m_version;
+    m_viewDigestValid = false;
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/table/change_planner.cpp
@@ -0,0 +1,206 @@
+#include "figstair/table/change_planner.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <boost/leaf.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace figstair {
+namespace {
+
+using rows_by_key = std::map<std::string, table_row>;
+
+rows_by_key byKey(const std::vector<table_row> &rows)
+{
+    rows_by_key result;
+    for (const table_row &row : rows) {
+        if (row.kind != row_kind::key) {
+            result.emplace(rowKey(row), row);
+        }
+    }
+    return result;
+}
+
+bool isLive(const rows_by_key &rows, const std::string &key)
+{
+    const auto found = rows.find(key);
+    return found != rows.end() && found->second.state != row_state::retired;
+}
+
+std::uint32_t greatestId(const table &current)
+{
+    std::uint32_t greatest = 0;
+    for (const table_row &row : current.rows()) {
+        greatest = std::max(greatest, row.id);
+    }
+    return greatest;
+}
+
+/// True when the row under @p key reads the same in both; absent and retired count as the same.
+bool unchanged(const rows_by_key &before, const rows_by_key &after, const std::string &key)
+{
+    if (!isLive(before, key) || !isLive(after, key)) {
+        return isLive(before, key) == isLive(after, key);
+    }
+    return sameSheetCells(before.at(key), after.at(key));
+}
+
+row_change removal(const table_row &row, wall_time now)
+{
+    row_change change;
+    change.row = row;
+    if (row.kind == row_kind::upstream || row.kind == row_kind::service) {
+        change.row.state = row_state::retired;
+        change.row.changedAt = now;
+    } else {
+        change.purge = true;
+    }
+    return change;
+}
+
+bool changesBefore(const row_change &a, const row_change &b)
+{
+    // Services go first when put and last when purged, as upstream rows refer to them.
+    const auto rank = [](const row_change &change) {
+        const int kind = static_cast<int>(change.row.kind);
+        return change.purge ? 100 - kind : kind;
+    };
+    return rank(a) < rank(b);
+}
+
+} // namespace
+
+change_planner::change_planner(wall_time now, milliseconds quarantine)
+    : m_now(now)
+    , m_quarantine(quarantine)
+{
+}
+
+leaf::result<std::vector<row_change>> change_planner::plan(const sheet &wanted, const table &base,
+                                                           const table &current) const
+{
+    const rows_by_key wantedRows = byKey(wanted.rows);
+    const rows_by_key baseRows = byKey(base.rows());
+    const rows_by_key currentRows = byKey(current.rows());
+
+    std::set<std::string> keys;
+    for (const rows_by_key *rows : {&wantedRows, &baseRows}) {
+        for (const auto &[key, row] : *rows) {
+            keys.insert(key);
+        }
+    }
+    std::vector<row_change> changes;
+    edit_conflict conflict {base.revision(), current.revision(), {}};
+    std::uint32_t nextId = greatestId(current) + 1;
+    for (const std::string &key : keys) {
+        if (unchanged(baseRows, wantedRows, key) || unchanged(currentRows, wantedRows, key)) {
+            continue;
+        }
+        if (!unchanged(baseRows, currentRows, key)) {
+            conflict.rowKeys.push_back(key);
+            continue;
+        }
+        const auto existing = currentRows.find(key);
+        if (!isLive(wantedRows, key)) {
+            changes.push_back(removal(existing->second, m_now));
+            continue;
+        }
+        row_change change;
+        change.row = wantedRows.at(key);
+        change.row.changedAt = m_now;
+        change.row.id = existing == currentRows.end() ? nextId++ : existing->second.id;
+        changes.push_back(std::move(change));
+    }
+    if (!conflict.rowKeys.empty()) {
+        return leaf::new_error(conflict);
+    }
+    BOOST_LEAF_CHECK(checkAddresses(changes, current));
+    if (!changes.empty()) {
+        addPurges(current, changes);
+        std::stable_sort(changes.begin(), changes.end(), changesBefore);
+    }
+    return changes;
+}
+
+std::vector<row_change> change_planner::planKey(const table &current, std::string sealedKey) const
+{
+    std::vector<row_change> changes;
+    std::uint32_t greatest = 0;
+    for (const key_entry &key : current.keys()) {
+        greatest = std::max(greatest, key.id);
+    }
+    row_change change;
+    change.row.kind = row_kind::key;
+    change.row.id = greatest + 1;
+    change.row.name = "key-" + std::to_string(change.row.id);
+    change.row.changedAt = m_now;
+    change.row.secret = std::move(sealedKey);
+    changes.push_back(std::move(change));
+    addPurges(current, changes);
+    return changes;
+}
+
+leaf::result<void> change_planner::checkAddresses(const std::vector<row_change> &changes,
+                                                  const table &current) const
+{
+    std::multimap<endpoint, const upstream_entry *> owners;
+    for (const auto &[id, entry] : current.upstreams()) {
+        owners.emplace(entry.address, &entry);
+    }
+    for (const row_change &change : changes) {
+        if (change.row.kind != row_kind::upstream || change.row.state == row_state::retired) {
+            continue;
+        }
+        const auto [first, last] = owners.equal_range(change.row.address);
+        for (auto owner = first; owner != last; ++owner) {
+            const upstream_entry &entry = *owner->second;
+            const bool isRetired = entry.state == row_state::retired;
+            const milliseconds remaining =
+                isRetired ? m_quarantine - (m_now - entry.changedAt) : m_quarantine;
+            if (entry.id != change.row.id && remaining.count() > 0) {
+                return leaf::new_error(address_in_quarantine {
+                    toString(entry.address), current.service(entry.serviceId)->name, remaining});
+            }
+        }
+    }
+    return {};
+}
+
+void change_planner::addPurges(const table &current, std::vector<row_change> &changes) const
+{
+    std::set<std::string> touched;
+    for (const row_change &change : changes) {
+        touched.insert(rowKey(change.row));
+    }
+    std::uint32_t newestKey = 0;
+    for (const key_entry &key : current.keys()) {
+        newestKey = std::max(newestKey, key.id);
+    }
+    std::set<std::string> serviceInUse;
+    const std::vector<table_row> rows = current.rows();
+    const auto expired = [this](const table_row &row) {
+        return m_now - row.changedAt >= m_quarantine;
+    };
+    for (const table_row &row : rows) {
+        const bool oldUpstream =
+            row.kind == row_kind::upstream && row.state == row_state::retired && expired(row);
+        const bool oldKey = row.kind == row_kind::key && row.id < newestKey && expired(row);
+        if ((oldUpstream || oldKey) && touched.count(rowKey(row)) == 0) {
+            changes.push_back(row_change {true, row});
+        } else if (row.kind == row_kind::upstream) {
+            serviceInUse.insert(row.service);
+        }
+    }
+    for (const table_row &row : rows) {
+        const bool oldService =
+            row.kind == row_kind::service && row.state == row_state::retired && expired(row);
+        if (oldService && serviceInUse.count(row.name) == 0 && touched.count(rowKey(row)) == 0) {
+            changes.push_back(row_change {true, row});
+        }
+    }
+}
+
+} // namespace figstair
--- /dev/null
+++ b/tests/standins/judge.cpp
@@ -0,0 +1,195 @@
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "figstair/platform/http_client.h"
+#include "standin_tools.h"
+
+#include <boost/leaf.hpp>
+
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
+using nlohmann::json;
+
+namespace {
+
+json readJson(const std::string &fileName)
+{
+    std::ifstream file(fileName);
+    return json::parse(file);
+}
+
+/// Prints promises and whether each held.
+class verdict
+{
+public:
+    void number(const std::string &name, const std::string &value) { print(name, value, ""); }
+
+    void require(const std::string &name, std::uint64_t value, std::uint64_t most)
+    {
+        const bool held = value <= most;
+        m_allHeld = m_allHeld && held;
+        print(name, std::to_string(value), held ? "held" : "BROKEN");
+    }
+
+    bool allHeld() const { return m_allHeld; }
+
+private:
+    static void print(const std::string &name, const std::string &value, const std::string &state)
+    {
+        std::cout << std::left << std::setw(46) << name << std::right << std::setw(12) << value
+                  << "  " << state << "\n";
+    }
+
+    bool m_allHeld = true;
+};
+
+std::uint64_t countOf(const json &callers, const char *name)
+{
+    return callers.at("counts").value(name, std::uint64_t {0});
+}
+
+std::uint64_t sumOf(const json &upstreams, const char *name)
+{
+    std::uint64_t sum = 0;
+    for (const json &upstream : upstreams.at("upstreams")) {
+        sum += upstream.at(name).get<std::uint64_t>();
+    }
+    return sum;
+}
+
+std::uint64_t receivedIn(const json &upstreams, const std::string &zone)
+{
+    std::uint64_t sum = 0;
+    for (const json &upstream : upstreams.at("upstreams")) {
+        if (upstream.at("zone") == zone) {
+            sum += upstream.at("received").get<std::uint64_t>();
+        }
+    }
+    return sum;
+}
+
+/// Greatest over mean of the work served per weight, among upstreams of @p service outside
+/// @p exceptZone and other than @p exceptName.
+std::string imbalance(const json &upstreams, const std::string &service,
+                      const std::string &exceptZone, const std::string &exceptName)
+{
+    double sum = 0;
+    double most = 0;
+    double count = 0;
+    for (const json &upstream : upstreams.at("upstreams")) {
+        const double weight = upstream.at("weight").get<double>();
+        if (upstream.at("service") != service || upstream.at("zone") == exceptZone
+            || upstream.at("name") == exceptName || weight == 0) {
+            continue;
+        }
+        const double share = upstream.at("served").get<double>() / weight;
+        sum += share;
+        most = std::max(most, share);
+        count += 1;
+    }
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2) << (sum > 0 ? most * count / sum : 0);
+    return text.str();
+}
+
+} // namespace
+
+/// Compares what callers saw with what upstreams did; the exit code says whether all promises held.
+int runJudge(const standin_words &words)
+{
+    po::options_description options;
+    options.add_options()("callers", po::value<std::string>()->required())(
+        "upstreams", po::value<std::string>()->required())(
+        "out-start", po::value<std::string>()->default_value(""))(
+        "out-end", po::value<std::string>()->default_value(""))(
+        "out-zone", po::value<std::string>()->default_value(""))(
+        "drained", po::value<std::string>()->default_value(""))(
+        "in-force-ms", po::value<std::vector<std::uint64_t>>()->multitoken());
+    const auto values = standins::readOptions(words, options);
+    const json callers = readJson(values["callers"].as<std::string>());
+    const json upstreams = readJson(values["upstreams"].as<std::string>());
+    const auto outZone = values["out-zone"].as<std::string>();
+
+    std::uint64_t brokenElsewhere = 0;
+    std::uint64_t givenUp = 0;
+    for (const auto &[zone, count] : callers.at("broken_by_zone").items()) {
+        (zone == outZone ? givenUp : brokenElsewhere) += count.get<std::uint64_t>();
+    }
+    std::set<std::string> run;
+    for (const json &order : upstreams.at("orders_run")) {
+        run.insert(order.get<std::string>());
+    }
+    std::uint64_t falseRefusals = 0;
+    for (const json &order : callers.at("orders_refused_as_not_run")) {
+        falseRefusals += run.count(order.get<std::string>());
+    }
+    std::uint64_t inventedAnswers = 0;
+    for (const json &order : callers.at("orders_answered")) {
+        inventedAnswers += run.count(order.get<std::string>()) == 0 ? 1 : 0;
+    }
+
+    verdict result;
+    for (const char *name :
+         {"flows", "requests", "answered", "refused_overloaded", "refused_not_run", "unknown",
+          "timeouts", "open_timeouts", "repeats", "flows_lost_before_first_answer"}) {
+        result.number(name, std::to_string(countOf(callers, name)));
+    }
+    const json &latency = callers.at("latency_ms");
+    result.number("latency p50 / p99 (ms)",
+                  latency.at("p50").dump() + " / " + latency.at("p99").dump());
+    std::set<std::string> services;
+    for (const json &upstream : upstreams.at("upstreams")) {
+        services.insert(upstream.at("service").get<std::string>());
+    }
+    for (const std::string &service : services) {
+        result.number("imbalance " + service,
+                      imbalance(upstreams, service, outZone, values["drained"].as<std::string>()));
+    }
+    result.number("flows given up in the zone taken out", std::to_string(givenUp));
+    result.require("broken flows elsewhere", brokenElsewhere, 0);
+    result.require("most runs of one order", upstreams.at("order_runs_most").get<std::uint64_t>(),
+                   1);
+    result.require("orders refused as not run, but run", falseRefusals, 0);
+    result.require("orders answered, but not run", inventedAnswers, 0);
+    result.require("wrong or mixed answers", countOf(callers, "wrong_answers"), 0);
+    result.require("packets at another service", sumOf(upstreams, "foreign"), 0);
+    result.require("work beyond what an upstream bears", sumOf(upstreams, "overruns"), 0);
+    if (!outZone.empty()) {
+        const json start = readJson(values["out-start"].as<std::string>());
+        const json end = readJson(values["out-end"].as<std::string>());
+        result.require("packets into the zone while out",
+                       receivedIn(end, outZone) - receivedIn(start, outZone), 0);
+    }
+    if (values.count("in-force-ms") != 0) {
+        for (const std::uint64_t time : values["in-force-ms"].as<std::vector<std::uint64_t>>()) {
+            constexpr std::uint64_t targetMs = 8000;
+            result.require("change in force everywhere (ms)", time, targetMs);
+        }
+    }
+    return result.allHeld() ? 0 : 1;
+}
+
+/// Prints the page at an address: get IP:PORT /path.
+int runGet(const standin_words &words)
+{
+    const auto where = standins::requireEndpoint(words.at(0));
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            BOOST_LEAF_AUTO(body,
+                            figstair::httpGet(where, words.at(1), figstair::milliseconds(5000)));
+            std::cout << body << "\n";
+            return 0;
+        },
+        [](const figstair::http_error &error) {
+            std::cerr << error.where << ": " << error.problem << "\n";
+            return 1;
+        },
+        [] { return 1; });
+}
--- /dev/null
+++ b/tests/standins/upstreams.cpp
@@ -0,0 +1,345 @@
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <set>
+#include <sstream>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf.hpp>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include "figstair/host/asio_endpoint.h"
+#include "figstair/host/process_settings.h"
+#include "figstair/host/status_server.h"
+#include "figstair/host/system_clock_source.h"
+#include "figstair/table/sheet.h"
+#include "figstair/wire/datagram.h"
+#include "standin_tools.h"
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
+using asio::ip::udp;
+using figstair::datagram;
+using figstair::datagram_type;
+using figstair::milliseconds;
+using figstair::monotonic_time;
+using figstair::refusal_status;
+using figstair::table_row;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint32_t shedFactor = 2;
+
+/// One upstream: serves work in its slots, needs time to warm up after a start, counts what it is
+/// asked to do. It does not deduplicate orders.
+class upstream
+{
+public:
+    upstream(asio::io_context &io, table_row row, milliseconds serviceTime, bool reportsFalsely)
+        : m_io(io)
+        , m_row(std::move(row))
+        , m_serviceTime(serviceTime)
+        , m_reportsFalsely(reportsFalsely)
+        , m_socket(io, figstair::toAsio<udp::endpoint>(m_row.address))
+        , m_random(figstair::addressHash(m_row.address) ^ m_row.address.port)
+    {
+        m_socket.set_option(asio::socket_base::receive_buffer_size(1 << 20));
+        restart();
+        m_startedAt -= m_row.warmup; // warm at the beginning
+        receive();
+    }
+
+    const table_row &row() const { return m_row; }
+    void setDraining(bool isDraining) { m_isDraining = isDraining; }
+
+    /// Loses all work in hand and starts cold.
+    void restart()
+    {
+        m_startId = m_random();
+        m_startedAt = m_clock.monotonic();
+        m_running.clear();
+    }
+
+    json report() const
+    {
+        std::uint64_t runsMost = 0;
+        for (const auto &[order, runs] : m_orderRuns) {
+            runsMost = std::max(runsMost, runs);
+        }
+        return json {
+            {"name", m_row.name},     {"service", m_row.service}, {"zone", m_row.zone},
+            {"weight", m_row.weight}, {"served", m_served},       {"orders", m_orderRuns.size()},
+            {"runs_most", runsMost},  {"foreign", m_foreign},     {"overruns", m_overruns},
+            {"peak", m_peak},         {"sheds", m_sheds},         {"last_work_ms", m_lastWorkMs},
+            {"received", m_received}, {"slots", m_row.slots}};
+    }
+
+    const std::map<std::string, std::uint64_t> &orderRuns() const { return m_orderRuns; }
+
+private:
+    struct running_work
+    {
+        std::uint64_t startId = 0;
+        bool isCancelled = false;
+    };
+
+    void receive()
+    {
+        m_socket.async_receive_from(asio::buffer(m_bytes), m_from,
+                                    [this](boost::system::error_code error, std::size_t size) {
+                                        if (!error) {
+                                            handle(size);
+                                        }
+                                        receive();
+                                    });
+    }
+
+    void handle(std::size_t size)
+    {
+        std::size_t consumed = 0;
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(message,
+                                figstair::decodeDatagram({m_bytes.data(), size}, consumed));
+                ++m_received;
+                if (message.type == datagram_type::work) {
+                    work(message);
+                } else if (message.type == datagram_type::probe) {
+                    datagram answer;
+                    answer.type = datagram_type::report;
+                    answer.sequence = message.sequence;
+                    send(m_from, answer);
+                }
+                return {};
+            },
+            [] {});
+    }
+
+    /// Slots that it bears now: grows with time from the cold limit.
+    std::uint32_t bears() const
+    {
+        const auto elapsed = static_cast<double>((m_clock.monotonic() - m_startedAt).count());
+        const double warm = m_row.warmup.count() == 0
+            ? 1.0
+            : std::min(1.0, elapsed / static_cast<double>(m_row.warmup.count()));
+        return m_row.coldLimit + static_cast<std::uint32_t>(warm * (m_row.slots - m_row.coldLimit));
+    }
+
+    void work(const datagram &message)
+    {
+        m_lastWorkMs = m_clock.wall().time_since_epoch().count();
+        if (message.service != m_row.service) {
+            ++m_foreign;
+        }
+        if (m_running.size() >= std::size_t {shedFactor} * m_row.slots) {
+            ++m_sheds;
+            datagram refusal;
+            refusal.type = datagram_type::refusal;
+            refusal.requestId = message.requestId;
+            refusal.status = refusal_status::overloaded;
+            refusal.retryAfterMs = 100;
+            send(m_from, refusal);
+            return;
+        }
+        m_running[message.requestId] = m_startId;
+        m_peak = std::max<std::uint64_t>(m_peak, m_running.size());
+        if (m_running.size() > bears()) {
+            ++m_overruns;
+        }
+        const std::string text(message.payload.begin(), message.payload.end());
+        const std::string answer = answerTo(text, message.kind == figstair::request_kind::order);
+        const double spread = std::uniform_real_distribution<>(0.5, 1.5)(m_random);
+        auto timer = std::make_shared<asio::steady_timer>(m_io);
+        timer->expires_after(std::chrono::microseconds(
+            static_cast<std::int64_t>(spread * 1000 * static_cast<double>(m_serviceTime.count()))));
+        timer->async_wait([this, timer, answer, to = m_from, id = message.requestId,
+                           first = message.firstPart, count = message.partCount,
+                           startId = m_startId](boost::system::error_code) {
+            if (startId == m_startId) {
+                finish(to, id, answer, first, count);
+            }
+        });
+    }
+
+    std::string answerTo(const std::string &text, bool isOrder)
+    {
+        const std::string place = m_row.service + " " + m_row.name + " " + m_row.zone;
+        if (isOrder) {
+            const std::uint64_t run = ++m_orderRuns[text];
+            return text + " done " + place + " run " + std::to_string(run);
+        }
+        std::istringstream words(text);
+        std::string name;
+        std::string item;
+        std::size_t size = 0;
+        words >> name >> item >> size;
+        if (name != "sheet") {
+            return text + " answered " + place;
+        }
+        std::string content = "sheet " + item + " of " + m_row.service + "\n";
+        std::mt19937_64 letters(XXH3_64bits(text.data(), text.size()));
+        while (content.size() < size) {
+            content += static_cast<char>('a' + letters() % 26);
+        }
+        return content;
+    }
+
+    void finish(const udp::endpoint &to, std::uint64_t requestId, const std::string &answer,
+                std::uint32_t first, std::uint32_t count)
+    {
+        m_running.erase(requestId);
+        ++m_served;
+        const auto total = static_cast<std::uint32_t>(std::max<std::size_t>(
+            1, (answer.size() + figstair::maxPartBytes - 1) / figstair::maxPartBytes));
+        const std::uint32_t last = count == 0 ? total : std::min(total, first + count);
+        for (std::uint32_t part = first; part < last; ++part) {
+            datagram message;
+            message.type = datagram_type::answer;
+            message.requestId = requestId;
+            message.part = part;
+            message.partTotal = total;
+            message.digest = XXH3_64bits(answer.data(), answer.size());
+            const std::size_t offset = part * figstair::maxPartBytes;
+            const std::size_t size = std::min(figstair::maxPartBytes, answer.size() - offset);
+            message.payload = figstair::byte_view(
+                reinterpret_cast<const std::uint8_t *>(answer.data()) + offset, size);
+            send(to, message);
+        }
+    }
+
+    void send(const udp::endpoint &to, datagram message)
+    {
+        message.hasReport = true;
+        message.report.startId = m_startId;
+        message.report.inUse = static_cast<std::uint32_t>(m_running.size());
+        if (!m_reportsFalsely && bears() < m_row.slots) {
+            message.report.phase = figstair::upstream_phase::cold;
+        }
+        if (m_isDraining) {
+            message.report.phase = figstair::upstream_phase::draining;
+        }
+        figstair::byte_buffer bytes;
+        figstair::encodeDatagram(message, bytes);
+        boost::system::error_code ignored;
+        m_socket.send_to(asio::buffer(bytes), to, 0, ignored);
+    }
+
+    asio::io_context &m_io;
+    table_row m_row;
+    milliseconds m_serviceTime;
+    bool m_reportsFalsely;
+    udp::socket m_socket;
+    std::mt19937_64 m_random;
+    figstair::system_clock_source m_clock;
+    udp::endpoint m_from;
+    std::array<std::uint8_t, 65536> m_bytes {};
+    std::uint64_t m_startId = 0;
+    monotonic_time m_startedAt {};
+    bool m_isDraining = false;
+    std::map<std::uint64_t, std::uint64_t> m_running;
+    std::map<std::string, std::uint64_t> m_orderRuns;
+    std::uint64_t m_served = 0;
+    std::uint64_t m_received = 0;
+    std::uint64_t m_foreign = 0;
+    std::uint64_t m_overruns = 0;
+    std::uint64_t m_sheds = 0;
+    std::uint64_t m_peak = 0;
+    std::int64_t m_lastWorkMs = 0;
+};
+
+using upstream_list = std::vector<std::unique_ptr<upstream>>;
+
+/// Greatest number of runs of one order over all upstreams.
+std::uint64_t greatestRuns(const upstream_list &upstreams)
+{
+    std::map<std::string, std::uint64_t> runs;
+    std::uint64_t greatest = 0;
+    for (const auto &item : upstreams) {
+        for (const auto &[order, count] : item->orderRuns()) {
+            runs[order] += count;
+            greatest = std::max(greatest, runs[order]);
+        }
+    }
+    return greatest;
+}
+
+std::string reportText(const upstream_list &upstreams)
+{
+    json list = json::array();
+    for (const auto &item : upstreams) {
+        list.push_back(item->report());
+    }
+    json orders = json::array();
+    for (const auto &item : upstreams) {
+        for (const auto &[order, count] : item->orderRuns()) {
+            orders.push_back(order);
+        }
+    }
+    return json {
+        {"upstreams", list}, {"order_runs_most", greatestRuns(upstreams)}, {"orders_run", orders}}
+        .dump(1);
+}
+
+figstair::status_page control(const std::string &target, upstream_list &upstreams)
+{
+    auto parameters = standins::parseTarget(target);
+    for (const auto &item : upstreams) {
+        const bool isMeant = item->row().name == parameters["name"];
+        if (isMeant && parameters[""] == "/restart") {
+            item->restart();
+        }
+        if (isMeant && parameters[""] == "/drain") {
+            item->setDraining(true);
+        }
+    }
+    return {200, "application/json", reportText(upstreams)};
+}
+
+} // namespace
+
+int runUpstreams(const standin_words &words)
+{
+    po::options_description options;
+    options.add_options()("sheet", po::value<std::string>()->required())(
+        "control", po::value<std::string>()->required())(
+        "service-ms", po::value<int>()->default_value(20))("false-reports", po::bool_switch());
+    const auto values = standins::readOptions(words, options);
+    asio::io_context io;
+    upstream_list upstreams;
+    const bool isRead = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(text, figstair::readTextFile(values["sheet"].as<std::string>()));
+            BOOST_LEAF_AUTO(sheet, figstair::parseSheet("sheet", text));
+            for (const table_row &row : sheet.rows) {
+                if (row.kind == figstair::row_kind::upstream) {
+                    upstreams.push_back(std::make_unique<upstream>(
+                        io, row, milliseconds(values["service-ms"].as<int>()),
+                        values["false-reports"].as<bool>()));
+                }
+            }
+            return true;
+        },
+        [](const figstair::sheet_error &error) {
+            std::cerr << toText(error) << "\n";
+            return false;
+        },
+        [] { return false; });
+    if (!isRead) {
+        return 3;
+    }
+    const figstair::status_server server(
+        io, standins::requireEndpoint(values["control"].as<std::string>()),
+        [&](const std::string &target) { return control(target, upstreams); });
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
+    io.run();
+    return 0;
+}
