--- a/include/figstair/core/answer_assembly.h
+++ b/include/figstair/core/answer_assembly.h
@@ -26,7 +26,8 @@
     /// True when every part is there and the whole has the digest.
     bool isWhole() const;
 
-    /// The first run of missing parts, at most @p most long; nothing when all parts are there.
+    /// The shortest range that holds all missing parts among the @p most parts from the first
+    /// missing one on; nothing when all parts are there.
     std::optional<part_range> missing(std::uint32_t most) const;
 
     /// The content; only meaningful when isWhole().
--- a/include/figstair/core/endpoint.h
+++ b/include/figstair/core/endpoint.h
@@ -13,7 +13,7 @@
 /// An IP address and port. IPv4 addresses are held in IPv4-mapped form.
 struct endpoint
 {
-    std::array<std::uint8_t, 16> address {};
+    std::array<std::uint8_t, 16> address{};
     std::uint16_t port = 0;
 
     bool operator==(const endpoint &other) const
@@ -41,6 +41,6 @@
 {
     std::size_t operator()(const figstair::endpoint &where) const noexcept
     {
-        return figstair::addressHash(where) ^ (std::size_t {where.port} * 0x9E3779B97F4A7C15ULL);
+        return figstair::addressHash(where) ^ (std::size_t{where.port} * 0x9E3779B97F4A7C15ULL);
     }
 };
--- a/include/figstair/core/flow_token.h
+++ b/include/figstair/core/flow_token.h
@@ -23,7 +23,7 @@
     std::uint32_t serviceId = 0;
     std::uint32_t upstreamId = 0;
     std::uint64_t gateIncarnation = 0; ///< the process that keeps the flow's order records
-    wall_time issuedAt {}; ///< whole seconds
+    wall_time issuedAt{}; ///< whole seconds
     std::uint64_t nonce = 0; ///< names the flow; kept when a token is renewed
     std::uint64_t callerHash = 0; ///< addressHash() of the caller
 };
@@ -61,8 +61,8 @@
 private:
     struct open_key
     {
-        wall_time createdAt {};
-        peer_key secret {};
+        wall_time createdAt{};
+        peer_key secret{};
     };
 
     peer_key m_sealingKey;
--- a/include/figstair/core/gate_role.h
+++ b/include/figstair/core/gate_role.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -56,6 +57,12 @@
     /// Order records that a leaving host has to hand on, one batch an upstream.
     std::vector<order_handover> handovers() const;
 
+    /// Records taken over from others, for upstreams that have another gate now.
+    std::vector<order_handover> misplacedInheritance() const;
+
+    /// Notes that @p gate holds what misplacedInheritance() gave for @p upstreamId.
+    void onInheritancePassed(std::uint32_t upstreamId, std::uint64_t gateIncarnation);
+
     /// Takes over another gate's records. Returns false when they do not fit.
     bool inherit(const order_handover &batch);
 
@@ -67,7 +74,7 @@
     {
         byte_buffer message; ///< encoded forwardOpen
         std::uint32_t upstreamId = 0;
-        monotonic_time until {};
+        monotonic_time until{};
     };
 
     void toUpstream(const upstream_entry &upstream, const datagram &message) override;
@@ -88,6 +95,7 @@
     void onOrder(const datagram &message, const flow_token &token);
     void answerRecordedOrder(const datagram &message, order_record &record);
     void settleForeignOrder(const datagram &message, const flow_token &token);
+    bool mayInheritSoon(const flow_token &token) const;
     void refuseNewOrder(const datagram &message, const flow_token &token);
     work_request makeWork(const datagram &message, const flow_token &token) const;
     bool passToGate(const datagram &message, const upstream_entry &upstream);
@@ -104,7 +112,9 @@
     std::unordered_map<endpoint, std::uint32_t> m_upstreamAt;
     std::map<std::uint32_t, wall_time> m_lastToken; ///< by upstream: when one was minted here
     std::vector<waiting_open> m_waitingOpens;
-    monotonic_time m_nextReview {};
+    std::map<std::uint32_t, std::uint64_t> m_inheritancePassedTo; ///< incarnation by upstream
+    std::map<std::uint32_t, monotonic_time> m_gateSince;
+    monotonic_time m_nextReview{};
     std::uint64_t m_reviewedMembers = 0;
     std::uint64_t m_reviewedRevision = 0;
     bool m_admitting = false;
--- a/include/figstair/core/host_core.h
+++ b/include/figstair/core/host_core.h
@@ -35,7 +35,9 @@
 
     /// Returns true when the records are held here now.
     bool onHandover(const order_handover &batch);
-    void onHandoverTaken(std::uint32_t upstreamId);
+
+    /// Notes that the process @p gateIncarnation holds the records handed to it.
+    void onHandoverTaken(std::uint32_t upstreamId, std::uint64_t gateIncarnation);
 
     /// Begins a planned stop.
     void stop();
@@ -61,6 +63,8 @@
     void followLife();
     bool hasFreshView() const;
     void continueLeaving();
+    void sendHandovers();
+    void passInheritanceOn();
     void dispatchPeer(const endpoint &from, const datagram &message);
     void dispatchOther(const endpoint &from, const datagram &message);
     void onGossip(const endpoint &from, const datagram &message);
@@ -81,8 +85,9 @@
     chart_position m_life;
     monotonic_time m_lastActivity;
     monotonic_time m_lifeSince;
-    monotonic_time m_nextHandover {};
-    monotonic_time m_handedOverAt {};
+    monotonic_time m_nextHandover{};
+    monotonic_time m_nextInheritance{};
+    monotonic_time m_handedOverAt{};
     bool m_handoverStarted = false;
     std::map<std::uint32_t, order_handover> m_handovers;
 };
--- a/include/figstair/core/host_output.h
+++ b/include/figstair/core/host_output.h
@@ -62,15 +62,15 @@
     std::uint64_t spanId = 0;
     std::uint64_t parentId = 0;
     std::string_view name; ///< receive, gate or upstream
-    wall_time start {};
-    milliseconds duration {0};
+    wall_time start{};
+    milliseconds duration{0};
     std::uint32_t upstreamId = 0;
 };
 
-/// Everything one gate knew of the orders of one upstream.
+/// Everything that gates which no longer take part knew of the orders of one upstream.
 struct order_handover
 {
-    std::uint64_t gateIncarnation = 0;
+    std::vector<std::uint64_t> gateIncarnations; ///< processes whose records are all here
     std::uint32_t upstreamId = 0;
     std::vector<order_record> records;
 };
--- a/include/figstair/core/membership.h
+++ b/include/figstair/core/membership.h
@@ -16,10 +16,10 @@
 
 struct membership_settings
 {
-    milliseconds probeInterval {500};
-    milliseconds ackTimeout {200};
-    milliseconds suspicionTime {1500};
-    milliseconds zoneTimeout {2500};
+    milliseconds probeInterval{500};
+    milliseconds ackTimeout{200};
+    milliseconds suspicionTime{1500};
+    milliseconds zoneTimeout{2500};
     std::size_t bridgesPerZone = 2;
     std::size_t bridgedZonesPerProbe = 3;
     std::size_t updatesPerMessage = 6;
@@ -90,7 +90,7 @@
     struct pending_probe
     {
         std::string target;
-        monotonic_time sentAt {};
+        monotonic_time sentAt{};
         bool askedOthers = false;
     };
     struct relayed_probe
@@ -159,11 +159,11 @@
     std::uint64_t m_version = 1;
     mutable std::uint64_t m_viewDigest = 0;
     mutable bool m_viewDigestValid = false;
-    monotonic_time m_nextProbe {};
-    monotonic_time m_nextSync {};
-    monotonic_time m_nextSuspectCheck {};
-    monotonic_time m_nextAbsentProbe {};
-    monotonic_time m_lastAck {};
+    monotonic_time m_nextProbe{};
+    monotonic_time m_nextSync{};
+    monotonic_time m_nextSuspectCheck{};
+    monotonic_time m_nextAbsentProbe{};
+    monotonic_time m_lastAck{};
     mutable zone_index m_index;
 };
 
--- a/include/figstair/core/order_ledger.h
+++ b/include/figstair/core/order_ledger.h
@@ -37,7 +37,7 @@
     order_key key;
     std::uint32_t upstreamId = 0;
     order_state state = order_state::pending;
-    wall_time expiresAt {};
+    wall_time expiresAt{};
     std::uint32_t partTotal = 0;
     std::uint64_t digest = 0;
     std::map<std::uint32_t, byte_buffer> parts; ///< of the answer, by number
@@ -63,18 +63,24 @@
     /// Drops records past their time.
     void expire(wall_time now);
 
-    /// Records of one upstream, to be handed to another host.
+    /// Settled records of one upstream, to be handed to another host.
     std::vector<order_record> recordsOf(std::uint32_t upstreamId) const;
 
-    /// Takes over all records that the process @p gateIncarnation had for @p upstreamId. Records
-    /// that are known already stay as they are. Returns false, taking nothing, when they do not
-    /// fit.
-    bool inherit(std::uint64_t gateIncarnation, std::uint32_t upstreamId,
-                 const std::vector<order_record> &records);
+    /// Takes over all records that the processes @p gateIncarnations had for @p upstreamId, to be
+    /// kept until @p until at least. Records that are known already stay as they are. Returns
+    /// false, taking nothing, when they do not fit.
+    bool inherit(const std::vector<std::uint64_t> &gateIncarnations, std::uint32_t upstreamId,
+                 const std::vector<order_record> &records, wall_time until);
 
-    /// Whether inherit() was called for both.
+    /// Whether all records that @p gateIncarnation had for @p upstreamId are here.
     bool inherits(std::uint64_t gateIncarnation, std::uint32_t upstreamId) const;
 
+    /// Processes whose records for @p upstreamId were taken over.
+    std::vector<std::uint64_t> inheritedFrom(std::uint32_t upstreamId) const;
+
+    /// Upstreams for which records were taken over.
+    std::set<std::uint32_t> inheritedUpstreams() const;
+
     std::size_t size() const { return m_records.size(); }
 
 private:
@@ -91,7 +97,7 @@
     std::size_t m_answerBytes = 0;
     std::unordered_map<order_key, order_record, key_hash> m_records;
     std::multimap<wall_time, order_key> m_expiry;
-    std::set<std::pair<std::uint64_t, std::uint32_t>> m_inherited;
+    std::map<std::pair<std::uint32_t, std::uint64_t>, wall_time> m_inherited; ///< by upstream
 };
 
 } // namespace figstair
--- a/include/figstair/core/upstream_gate.h
+++ b/include/figstair/core/upstream_gate.h
@@ -21,13 +21,14 @@
 
 struct upstream_gate_settings
 {
-    milliseconds probeInterval {500};
+    milliseconds probeInterval{500};
     int probesMissedUntilDown = 3;
-    milliseconds flowIdleTime {60000};
-    milliseconds slotHoldAfterCancel {5000}; ///< an unanswered request counts for its slot as long
+    milliseconds flowIdleTime{60000};
+    milliseconds slotHoldAfterCancel{5000}; ///< an unanswered request counts for its slot as long
     std::size_t queuePerSlot = 8;
     double retryShare = 0.1;
-    milliseconds resendAfter {500};
+    milliseconds resendAfter{500};
+    milliseconds partGap{200}; ///< longest pause between parts of one answer
 };
 
 /// One request on its way to an upstream.
@@ -40,7 +41,7 @@
     std::string service;
     std::uint32_t firstPart = 0;
     std::uint32_t partCount = 0;
-    milliseconds budget {0};
+    milliseconds budget{0};
     std::uint64_t traceId = 0;
     std::uint64_t parentSpan = 0;
     byte_buffer payload;
@@ -117,12 +118,13 @@
     struct work_item
     {
         work_request request;
-        monotonic_time arrivedAt {};
-        monotonic_time deadline {};
-        monotonic_time sentAt {};
+        monotonic_time arrivedAt{};
+        monotonic_time deadline{};
+        monotonic_time sentAt{};
         bool sent = false;
         bool cancelled = false; ///< the caller has been told; only the slot is still counted
         bool resent = false;
+        monotonic_time lastPartAt{};
         std::vector<bool> partsSeen;
         std::uint32_t partsMissing = 0;
         std::uint64_t spanId = 0;
@@ -143,7 +145,9 @@
     void cancelLate(work_map::iterator item);
     void checkRunning();
     void checkQueue();
+    bool upstreamLacksSome(monotonic_time since) const;
     void maybeResend(std::uint64_t correlation, work_item &item);
+    bool lostParts(const work_item &item) const;
     void checkProbe();
     void expireFlows();
     void noteStart(const upstream_report &report);
@@ -178,10 +182,10 @@
     int m_slowAnswers = 0;
     int m_probesUnanswered = 0;
     std::uint64_t m_probeSequence = 0;
-    monotonic_time m_nextProbe {};
-    monotonic_time m_nextFlowCheck {};
-    monotonic_time m_reportAt {};
-    monotonic_time m_lastUse {};
+    monotonic_time m_nextProbe{};
+    monotonic_time m_nextFlowCheck{};
+    monotonic_time m_reportAt{};
+    monotonic_time m_lastUse{};
 };
 
 } // namespace figstair
--- a/include/figstair/core/warm_up.h
+++ b/include/figstair/core/warm_up.h
@@ -20,7 +20,7 @@
 private:
     double progress(monotonic_time now, std::uint32_t slots, milliseconds warmup) const;
 
-    monotonic_time m_startedAt {};
+    monotonic_time m_startedAt{};
     std::uint32_t m_base = 0;
     std::uint32_t m_completions = 0;
 };
--- a/include/figstair/host/asio_endpoint.h
+++ b/include/figstair/host/asio_endpoint.h
@@ -23,7 +23,7 @@
     const ip::address address = where.address();
     const ip::address_v6 wide =
         address.is_v4() ? ip::make_address_v6(ip::v4_mapped, address.to_v4()) : address.to_v6();
-    return endpoint {wide.to_bytes(), where.port()};
+    return endpoint{wide.to_bytes(), where.port()};
 }
 
 } // namespace figstair
--- a/include/figstair/host/event_log.h
+++ b/include/figstair/host/event_log.h
@@ -21,7 +21,7 @@
 private:
     struct window
     {
-        monotonic_time start {};
+        monotonic_time start{};
         unsigned written = 0;
         unsigned dropped = 0;
     };
--- a/include/figstair/host/metrics.h
+++ b/include/figstair/host/metrics.h
@@ -37,7 +37,7 @@
 
     counter_histogram m_counters;
     std::vector<time_histogram> m_times;
-    std::array<double, static_cast<std::size_t>(distribution::count)> m_sums {};
+    std::array<double, static_cast<std::size_t>(distribution::count)> m_sums{};
 };
 
 } // namespace figstair
--- a/include/figstair/host/platform_watcher.h
+++ b/include/figstair/host/platform_watcher.h
@@ -47,8 +47,8 @@
     std::mutex m_mutex;
     std::condition_variable m_wake;
     bool m_isStopping = false;
-    std::atomic<bool> m_isWatching {false};
-    std::atomic<std::uint64_t> m_ownRevision {0};
+    std::atomic<bool> m_isWatching{false};
+    std::atomic<std::uint64_t> m_ownRevision{0};
     std::thread m_thread;
 };
 
--- a/include/figstair/host/process_settings.h
+++ b/include/figstair/host/process_settings.h
@@ -17,8 +17,8 @@
     endpoint peerListen;
     endpoint statusListen;
     endpoint platform;
-    milliseconds platformTimeout {1000};
-    milliseconds platformPollInterval {500};
+    milliseconds platformTimeout{1000};
+    milliseconds platformPollInterval{500};
 };
 
 /// Reports a place in a settings file that cannot be accepted.
--- a/include/figstair/peer/peer_message.h
+++ b/include/figstair/peer/peer_message.h
@@ -30,6 +30,7 @@
 struct handover_taken
 {
     std::uint32_t upstreamId = 0;
+    std::uint64_t gateIncarnation = 0; ///< of the process that has taken it
 };
 
 using peer_message = std::variant<members_request, members_reply, table_request, table_reply,
--- /dev/null
+++ b/include/figstair/replay/replay_host.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "figstair/core/host_core.h"
+#include "figstair/peer/peer_message.h"
+#include "figstair/replay/replay_network.h"
+
+namespace figstair {
+
+/// One host of a replay: the host_core that runs in production, with the trace's network and clock
+/// around it. It can be killed, started again, frozen and thawed.
+class replay_host : public host_output
+{
+public:
+    /// Finds the host at an address, for peer links; nothing when there is none.
+    using host_finder = std::function<replay_host *(const endpoint &where)>;
+
+    replay_host(host_settings settings, std::uint64_t seed, timeline &time, replay_network &network,
+                host_finder findHost);
+
+    const std::string &name() const { return m_settings.self.name; }
+    const std::string &zone() const { return m_settings.self.zone; }
+    const endpoint &address() const { return m_settings.self.address; }
+
+    void start();
+    void kill();
+    void freeze() { m_isFrozen = true; }
+    void thaw();
+    void stop();
+
+    bool isRunning() const { return m_core != nullptr; }
+    bool isFrozen() const { return m_isFrozen; }
+    bool hasStopped() const { return m_hasStopped; }
+
+    /// The host's decisions; only while it runs.
+    host_core &core() { return *m_core; }
+    const host_core &core() const { return *m_core; }
+
+    void tick();
+    std::uint64_t value(counter which) const { return m_counters[static_cast<std::size_t>(which)]; }
+
+    /// Takes a message as it came over a peer link.
+    void onPeerMessage(replay_host &from, const std::string &bytes);
+
+    /// Prints events to standard error.
+    void setTalkative(bool isTalkative) { m_isTalkative = isTalkative; }
+
+private:
+    void onDatagram(const endpoint &from, const byte_buffer &bytes);
+    void answerPeer(replay_host &to, const peer_message &message);
+    void sendPeer(const endpoint &to, const peer_message &message);
+
+    void sendDatagram(const endpoint &to, byte_view bytes) override;
+    void requestMembers(const member &from) override;
+    void requestTable(const member &from, std::uint64_t revision) override;
+    void sendHandover(const member &to, const order_handover &batch) override;
+    void logEvent(std::string_view name, event_fields fields) override;
+    void count(counter which, std::uint64_t amount) override;
+    void observe(distribution, milliseconds) override { }
+    void recordSpan(const span_record &) override { }
+
+    host_settings m_settings;
+    std::uint64_t m_seed;
+    timeline &m_time;
+    replay_network &m_network;
+    host_finder m_findHost;
+    std::unique_ptr<host_core> m_core;
+    bool m_isFrozen = false;
+    bool m_hasStopped = false;
+    bool m_isTalkative = false;
+    std::vector<std::function<void()>> m_whileFrozen;
+    std::array<std::uint64_t, static_cast<std::size_t>(counter::count)> m_counters{};
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/replay/replay_network.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "figstair/core/endpoint.h"
+#include "figstair/replay/timeline.h"
+#include "figstair/wire/datagram.h"
+
+namespace figstair {
+
+/// Carries datagrams and peer messages between the replay's nodes, with the delays, cuts, losses
+/// and duplicates that the trace states.
+class replay_network
+{
+public:
+    using datagram_handler = std::function<void(const endpoint &from, const byte_buffer &bytes)>;
+
+    replay_network(timeline &time, std::uint64_t seed, milliseconds latency);
+
+    void addNode(const std::string &name, const std::string &zone, const endpoint &where,
+                 datagram_handler handler, bool isUpstream = false);
+
+    void send(const endpoint &from, const endpoint &to, byte_view bytes);
+
+    /// Runs @p delivery after the latency unless the way is cut; for messages over peer links.
+    void deliver(const endpoint &from, const endpoint &to, std::function<void()> delivery);
+
+    /// Stops all between @p a and @p b, each a node's or a zone's name, or "all".
+    void cut(const std::string &a, const std::string &b);
+    void heal(const std::string &a, const std::string &b);
+    bool isCut(const endpoint &from, const endpoint &to) const;
+    bool isCutFromPlatform(const endpoint &node) const;
+
+    void setLoss(double share) { m_loss = share; }
+    /// Doubles a share of the datagrams to callers and hosts.
+    void setDuplicates(double share) { m_duplicates = share; }
+
+    /// Doubles a share of the datagrams to upstreams.
+    void setDuplicatesToUpstreams(double share) { m_duplicatesToUpstreams = share; }
+    void setJitter(milliseconds jitter) { m_jitter = jitter; }
+
+    /// Bytes that hosts sent to hosts.
+    std::uint64_t bytesSent() const { return m_bytesSent; }
+
+private:
+    struct node
+    {
+        std::string name;
+        std::string zone;
+        datagram_handler handler;
+        bool isUpstream = false;
+    };
+
+    bool matches(const node &item, const std::string &name) const;
+    milliseconds delay();
+    bool happens(double share);
+    bool mayDouble(const endpoint &to) const;
+
+    timeline &m_time;
+    std::mt19937_64 m_random;
+    milliseconds m_latency;
+    milliseconds m_jitter{0};
+    double m_loss = 0;
+    double m_duplicates = 0;
+    double m_duplicatesToUpstreams = 0;
+    std::map<endpoint, node> m_nodes;
+    std::set<std::pair<std::string, std::string>> m_cuts;
+    std::uint64_t m_bytesSent = 0;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/replay/replay_world.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "figstair/replay/replay_caller.h"
+#include "figstair/replay/replay_host.h"
+#include "figstair/replay/replay_network.h"
+#include "figstair/replay/replay_platform.h"
+#include "figstair/replay/replay_upstream.h"
+#include "figstair/replay/trace.h"
+
+namespace figstair {
+
+struct replay_options
+{
+    bool isTalkative = false; ///< print the hosts' events
+    std::optional<std::uint64_t> seed; ///< in place of the trace's own
+};
+
+/// Carries out one trace and compares what happened with what it states.
+class replay_world
+{
+public:
+    /// @p print gets a line for each outcome, whether it held or not.
+    replay_world(const replay_options &options, std::function<void(const std::string &line)> print);
+
+    /// Returns the number of outcomes that did not hold. Throws trace_problem for an event that
+    /// cannot be carried out; @p current is set to its line.
+    int run(const std::vector<trace_event> &events, std::size_t &current);
+
+private:
+    using verb_handler = void (replay_world::*)(const trace_event &event);
+    using quantity_reader = std::function<double(const trace_event &event)>;
+
+    static const std::map<std::string, verb_handler> &sceneVerbs();
+    static const std::map<std::string, verb_handler> &timedVerbs();
+
+    // The scene.
+    void setUp(const trace_event &event);
+    void addZone(const trace_event &event);
+    void addService(const trace_event &event);
+    void addHost(const trace_event &event);
+    void addUpstream(const trace_event &event);
+    void addCaller(const trace_event &event);
+
+    // Timed events.
+    void openFlow(const trace_event &event);
+    void makeRequest(const trace_event &event);
+    void makeLoad(const trace_event &event);
+    void moveCaller(const trace_event &event);
+    void changeHost(const trace_event &event);
+    void changeUpstream(const trace_event &event);
+    void changeNetwork(const trace_event &event);
+    void changePlatform(const trace_event &event);
+    void editRow(const trace_event &event);
+    void expect(const trace_event &event);
+
+    void begin();
+    void printSummary();
+    std::string gateOf(const std::string &upstreamName);
+    void tick();
+    void lookAtPlatform(replay_host &host);
+    endpoint pickHost(const std::string &wanted);
+    table_row &rowOf(const trace_event &event);
+    replay_host &hostOf(const trace_event &event);
+    replay_upstream &upstreamOf(const trace_event &event, const std::string &key);
+    std::vector<replay_caller *> callersOf(const std::string &pattern);
+    double quantity(const trace_event &event, const std::string &name);
+    double hostQuantity(const trace_event &event, const std::string &name, bool &isKnown);
+    double upstreamQuantity(const trace_event &event, const std::string &name, bool &isKnown);
+    double callerQuantity(const trace_event &event, const std::string &name, bool &isKnown);
+    void check(const trace_event &event, const std::string &name, double value);
+
+    replay_options m_options;
+    std::function<void(const std::string &line)> m_print;
+    timeline m_time;
+    std::uint64_t m_seed = 1;
+    milliseconds m_tickInterval{50};
+    milliseconds m_pollInterval{500};
+    milliseconds m_orderWindow{300000};
+    std::unique_ptr<replay_network> m_network;
+    std::unique_ptr<replay_platform> m_platform;
+    std::mt19937_64 m_random;
+    std::vector<table_row> m_rows;
+    std::map<std::string, std::unique_ptr<replay_host>> m_hosts;
+    std::map<std::string, std::unique_ptr<replay_upstream>> m_upstreams;
+    std::map<std::string, std::unique_ptr<replay_caller>> m_callers;
+    std::map<std::string, std::string> m_aliases;
+    std::vector<std::string> m_fabricHosts;
+    std::vector<endpoint> m_seeds;
+    caller_tally m_tally;
+    monotonic_time m_nextPoll{};
+    std::size_t m_viaAllCursor = 0;
+    int m_failures = 0;
+};
+
+/// Replays one trace file. Returns the number of outcomes that did not hold. Fails with
+/// trace_error.
+boost::leaf::result<int> replayTrace(const std::string &fileName, const std::string &text,
+                                     const replay_options &options,
+                                     const std::function<void(const std::string &line)> &print);
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/replay/timeline.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "figstair/core/clock_source.h"
+
+namespace figstair {
+
+/// Virtual time: actions run in the order of their time, then of their entry.
+class timeline : public clock_source
+{
+public:
+    using action = std::function<void()>;
+
+    monotonic_time monotonic() const override { return m_now; }
+    wall_time wall() const override { return wallStart + (m_now - monotonic_time()); }
+
+    void after(milliseconds delay, action what)
+    {
+        m_actions.emplace(m_now + delay, std::move(what));
+    }
+
+    /// Runs everything up to @p end.
+    void runUntil(monotonic_time end)
+    {
+        while (!m_actions.empty() && m_actions.begin()->first <= end) {
+            const auto next = m_actions.begin();
+            m_now = next->first;
+            const action what = std::move(next->second);
+            m_actions.erase(next);
+            what();
+        }
+        m_now = end;
+    }
+
+private:
+    static constexpr wall_time wallStart{milliseconds(1700000000000)};
+
+    monotonic_time m_now{milliseconds(1000)};
+    std::multimap<monotonic_time, action> m_actions;
+};
+
+} // namespace figstair
--- a/include/figstair/table/change_planner.h
+++ b/include/figstair/table/change_planner.h
@@ -25,7 +25,7 @@
 {
     std::string address;
     std::string service;
-    milliseconds remaining {0};
+    milliseconds remaining{0};
 };
 
 /// Turns a sheet into the changes of one edit.
--- a/include/figstair/table/edit.h
+++ b/include/figstair/table/edit.h
@@ -24,7 +24,7 @@
     std::string parentDigest; ///< digest of the table before the edit
     std::string editId; ///< chosen by the editor; settles a lost answer
     std::string author;
-    wall_time acceptedAt {};
+    wall_time acceptedAt{};
     std::vector<row_change> changes;
 };
 
--- a/include/figstair/table/row.h
+++ b/include/figstair/table/row.h
@@ -35,10 +35,10 @@
     std::uint32_t slots = 0; ///< upstream: requests it serves at one time
     std::uint32_t connections = 0; ///< upstream: flows it holds at one time
     std::uint32_t coldLimit = 0; ///< upstream: slots it bears just after a start
-    milliseconds warmup {0}; ///< upstream: time from a start to full slots
+    milliseconds warmup{0}; ///< upstream: time from a start to full slots
     row_state state = row_state::in;
     std::uint32_t id = 0; ///< assigned on acceptance, never used again
-    wall_time changedAt {}; ///< key: creation; upstream: retirement
+    wall_time changedAt{}; ///< key: creation; upstream: retirement
     std::string secret; ///< key: sealed key, hexadecimal
 };
 
--- a/include/figstair/table/table.h
+++ b/include/figstair/table/table.h
@@ -24,9 +24,9 @@
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
     std::uint32_t coldLimit = 0;
-    milliseconds warmup {0};
+    milliseconds warmup{0};
     endpoint address;
-    wall_time changedAt {};
+    wall_time changedAt{};
     std::string name;
 };
 
@@ -34,7 +34,7 @@
 {
     std::uint32_t id = 0;
     row_state state = row_state::in;
-    wall_time changedAt {};
+    wall_time changedAt{};
     std::string name;
     std::vector<std::uint32_t> upstreams; ///< ids, retired ones included
 };
@@ -42,7 +42,7 @@
 struct key_entry
 {
     std::uint32_t id = 0;
-    wall_time createdAt {};
+    wall_time createdAt{};
     std::string name;
     std::string secret; ///< sealed, hexadecimal
 };
@@ -98,7 +98,7 @@
         std::string name;
         row_state state = row_state::in;
         std::string zone;
-        wall_time changedAt {};
+        wall_time changedAt{};
         bool present = true;
     };
 
--- a/src/cli/replay_command.cpp
+++ b/src/cli/replay_command.cpp
@@ -1,15 +1,66 @@
 #include <iostream>
 
+#include <boost/leaf.hpp>
+
 #include "command_options.h"
 #include "figstair/cli/commands.h"
+#include "figstair/host/process_settings.h"
+#include "figstair/replay/replay_world.h"
+
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
 
 namespace figstair {
+namespace {
+
+int replayFile(const std::string &fileName, const replay_options &replay)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            BOOST_LEAF_AUTO(text, readTextFile(fileName));
+            BOOST_LEAF_AUTO(failures,
+                            replayTrace(fileName, text, replay, [](const std::string &line) {
+                                std::cout << "  " << line << "\n";
+                            }));
+            std::cout << fileName << ": "
+                      << (failures == 0 ? "all outcomes held"
+                                        : std::to_string(failures) + " outcomes failed")
+                      << "\n";
+            return failures == 0 ? exitDone : exitDiffers;
+        },
+        [](const trace_error &error) {
+            std::cerr << toText(error) << "\n";
+            return static_cast<int>(exitBadInput);
+        },
+        [](const settings_error &error) {
+            std::cerr << toText(error) << "\n";
+            return static_cast<int>(exitBadInput);
+        },
+        [] { return static_cast<int>(exitBadInput); });
+}
+
+} // namespace
 
 int runReplay(const arguments &words)
 {
-    (void)words;
-    std::cerr << "replay: not built yet\n";
-    return exitUsage;
+    po::options_description description("figstair replay FILE...");
+    description.add_options()("file", po::value<std::vector<std::string>>()->required(),
+                              "trace files")("events", "print the hosts' events")(
+        "seed", po::value<std::uint64_t>(), "in place of the traces' own seeds");
+    const command_options options(words, description, "file", -1);
+    if (options.helpWasPrinted()) {
+        return exitDone;
+    }
+    replay_options replay;
+    replay.isTalkative = options.has("events");
+    if (options.has("seed")) {
+        replay.seed = options.get<std::uint64_t>("seed");
+    }
+    int worst = exitDone;
+    for (const std::string &fileName : options.get<std::vector<std::string>>("file")) {
+        worst = std::max(worst, replayFile(fileName, replay));
+    }
+    return worst;
 }
 
 } // namespace figstair
--- a/src/cli/status_command.cpp
+++ b/src/cli/status_command.cpp
@@ -19,8 +19,8 @@
 namespace figstair {
 namespace {
 
-constexpr milliseconds callTimeout {2000};
-constexpr milliseconds pollInterval {50};
+constexpr milliseconds callTimeout{2000};
+constexpr milliseconds pollInterval{50};
 
 leaf::result<json> getJson(const endpoint &where, const std::string &path)
 {
@@ -28,7 +28,7 @@
     try {
         return json::parse(body);
     } catch (const json::exception &error) {
-        return leaf::new_error(http_error {toString(where), error.what()});
+        return leaf::new_error(http_error{toString(where), error.what()});
     }
 }
 
--- a/src/cli/table_command.cpp
+++ b/src/cli/table_command.cpp
@@ -27,13 +27,13 @@
 constexpr std::size_t editIdBytes = 16;
 
 /// How long a host that hears from nobody may go on with an old table.
-constexpr milliseconds longestStaleness {6 * 3600 * 1000};
+constexpr milliseconds longestStaleness{6 * 3600 * 1000};
 
 std::string makeEditId()
 {
-    std::array<unsigned char, editIdBytes> bytes {};
+    std::array<unsigned char, editIdBytes> bytes{};
     randombytes_buf(bytes.data(), bytes.size());
-    std::array<char, editIdBytes * 2 + 1> text {};
+    std::array<char, editIdBytes * 2 + 1> text{};
     sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
     return text.data();
 }
@@ -201,8 +201,8 @@
                 return exitDone;
             }
             addFirstKey(current, changes);
-            table_edit edit {current.revision() + 1, current.digest(),  editId, author,
-                             m_clock.wall(),         std::move(changes)};
+            table_edit edit{current.revision() + 1, current.digest(),  editId, author,
+                            m_clock.wall(),         std::move(changes)};
             BOOST_LEAF_AUTO(outcome, m_store.commit(head, edit));
             if (outcome == commit_outcome::accepted) {
                 printChanges(edit.changes);
@@ -213,7 +213,7 @@
                 return exitDone;
             }
         }
-        return leaf::new_error(platform_error {"txn", "others changed the table each time"});
+        return leaf::new_error(platform_error{"txn", "others changed the table each time"});
     }
 
     void addFirstKey(const table &current, std::vector<row_change> &changes) const
@@ -326,7 +326,7 @@
 
 int runTable(const arguments &words)
 {
-    static const std::map<std::string, int (*)(const arguments &)> actions {
+    static const std::map<std::string, int (*)(const arguments &)> actions{
         {"check", runCheck}, {"diff", runDiff},       {"apply", runApply},
         {"show", runShow},   {"history", runHistory}, {"rotate-key", runRotateKey}};
     const auto action = words.empty() ? actions.end() : actions.find(words.front());
--- a/src/core/answer_assembly.cpp
+++ b/src/core/answer_assembly.cpp
@@ -38,16 +38,18 @@
 std::optional<answer_assembly::part_range> answer_assembly::missing(std::uint32_t most) const
 {
     if (m_parts.empty()) {
-        return part_range {0, most};
+        return part_range{0, most};
     }
     const auto isMissing = [](const std::optional<std::string> &part) { return !part.has_value(); };
     const auto first = std::find_if(m_parts.begin(), m_parts.end(), isMissing);
     if (first == m_parts.end()) {
         return std::nullopt;
     }
-    const auto last = std::find_if_not(first, m_parts.end(), isMissing);
-    const auto count = static_cast<std::uint32_t>(last - first);
-    return part_range {static_cast<std::uint32_t>(first - m_parts.begin()), std::min(count, most)};
+    const auto windowEnd = first + std::min<std::ptrdiff_t>(most, m_parts.end() - first);
+    const auto last = std::find_if(std::make_reverse_iterator(windowEnd),
+                                   std::make_reverse_iterator(first), isMissing);
+    return part_range{static_cast<std::uint32_t>(first - m_parts.begin()),
+                      static_cast<std::uint32_t>(last.base() - first)};
 }
 
 std::string answer_assembly::content() const
--- a/src/core/candidate_list.cpp
+++ b/src/core/candidate_list.cpp
@@ -31,8 +31,8 @@
     }
     candidate_list list;
     for (std::size_t offset = 0; offset < bytes.size(); offset += candidateBytes) {
-        list.m_candidates.push_back(candidate {endian::load_big_u32(bytes.data() + offset),
-                                               endian::load_big_u16(bytes.data() + offset + 4)});
+        list.m_candidates.push_back(candidate{endian::load_big_u32(bytes.data() + offset),
+                                              endian::load_big_u16(bytes.data() + offset + 4)});
     }
     return list;
 }
--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -29,7 +29,7 @@
     endpoint where;
     const char *portEnd = portText.data() + portText.size();
     const auto [rest, status] = std::from_chars(portText.data(), portEnd, where.port);
-    if (status != std::errc {} || rest != portEnd || portText.empty()) {
+    if (status != std::errc{} || rest != portEnd || portText.empty()) {
         return std::nullopt;
     }
     boost::system::error_code error;
--- a/src/core/flow_token.cpp
+++ b/src/core/flow_token.cpp
@@ -37,7 +37,7 @@
 
 std::array<std::uint8_t, crypto_secretbox_KEYBYTES> boxKey(const peer_key &sealingKey)
 {
-    std::array<std::uint8_t, crypto_secretbox_KEYBYTES> key {};
+    std::array<std::uint8_t, crypto_secretbox_KEYBYTES> key{};
     crypto_generichash(key.data(), key.size(), sealingKey.data(), sealingKey.size(), nullptr, 0);
     return key;
 }
@@ -47,7 +47,7 @@
 
 std::optional<peer_key> openSealedKey(const peer_key &sealingKey, const std::string &text)
 {
-    std::array<std::uint8_t, sealedBytes> sealed {};
+    std::array<std::uint8_t, sealedBytes> sealed{};
     std::size_t size = 0;
     if (sodium_hex2bin(sealed.data(), sealed.size(), text.data(), text.size(), nullptr, &size,
                        nullptr)
@@ -55,7 +55,7 @@
         || size != sealed.size()) {
         return std::nullopt;
     }
-    peer_key secret {};
+    peer_key secret{};
     const auto key = boxKey(sealingKey);
     const std::uint8_t *cipher = sealed.data() + crypto_secretbox_NONCEBYTES;
     if (crypto_secretbox_open_easy(secret.data(), cipher,
@@ -69,7 +69,7 @@
 
 leaf::error_id fail(token_error::problem reason)
 {
-    return leaf::new_error(token_error {reason});
+    return leaf::new_error(token_error{reason});
 }
 
 } // namespace
@@ -87,7 +87,7 @@
     for (const key_entry &entry : current.keys()) {
         const auto secret = openSealedKey(m_sealingKey, entry.secret);
         if (secret) {
-            keys[entry.id] = open_key {entry.createdAt, *secret};
+            keys[entry.id] = open_key{entry.createdAt, *secret};
         } else {
             ++unopened;
         }
@@ -116,7 +116,7 @@
             .count());
     layout.nonce = token.nonce;
     layout.callerHash = token.callerHash;
-    flow_token_bytes bytes {};
+    flow_token_bytes bytes{};
     const auto *body = reinterpret_cast<const std::uint8_t *>(&layout);
     std::copy_n(body, bodyBytes, bytes.begin());
     computeMac(chosen->second.secret, bytes.data(), bytes.data() + bodyBytes);
@@ -137,7 +137,7 @@
     if (key == m_keys.end()) {
         return fail(token_error::problem::unknownKey);
     }
-    std::array<std::uint8_t, peerMacBytes> expected {};
+    std::array<std::uint8_t, peerMacBytes> expected{};
     computeMac(key->second.secret, bytes.data(), expected.data());
     if (sodium_memcmp(expected.data(), bytes.data() + bodyBytes, peerMacBytes) != 0) {
         return fail(token_error::problem::forged);
@@ -154,8 +154,8 @@
 
 std::string makeSealedKey(const peer_key &sealingKey)
 {
-    std::array<std::uint8_t, sealedBytes> sealed {};
-    peer_key secret {};
+    std::array<std::uint8_t, sealedBytes> sealed{};
+    peer_key secret{};
     randombytes_buf(secret.data(), secret.size());
     randombytes_buf(sealed.data(), crypto_secretbox_NONCEBYTES);
     const auto key = boxKey(sealingKey);
@@ -169,7 +169,7 @@
 
 std::optional<peer_key> parsePeerKey(std::string_view text)
 {
-    peer_key key {};
+    peer_key key{};
     std::size_t size = 0;
     if (sodium_hex2bin(key.data(), key.size(), text.data(), text.size(), nullptr, &size, nullptr)
             != 0
--- a/src/core/gate_role.cpp
+++ b/src/core/gate_role.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr std::size_t maxWaitingOpens = 4096;
-constexpr milliseconds shortRetry {200};
-constexpr milliseconds reviewInterval {5000};
+constexpr milliseconds shortRetry{200};
+constexpr milliseconds reviewInterval{5000};
 
 /// The token in @p message, or nothing when it is not accepted.
 std::optional<flow_token> readToken(const token_keys &keys, const datagram &message)
@@ -269,7 +269,7 @@
 
 void gate_role::onOrder(const datagram &message, const flow_token &token)
 {
-    const order_key key {token.nonce, message.requestId};
+    const order_key key{token.nonce, message.requestId};
     order_record *record = m_ledger.find(key);
     if (record != nullptr) {
         answerRecordedOrder(message, *record);
@@ -282,11 +282,14 @@
     const bool isOwnToken = token.gateIncarnation == m_context.members.self().incarnation;
     const wall_time now = m_context.clock.wall();
     const bool isFresh = now < token.issuedAt + m_context.settings.orderWindow;
+    const upstream_entry *upstream = m_context.rows.upstream(token.upstreamId);
+    if (upstream != nullptr && isGateOf(*upstream)) {
+        m_gateSince.emplace(token.upstreamId, m_context.clock.monotonic());
+    }
     if (!isOwnToken || !isFresh) {
         settleForeignOrder(message, token);
         return;
     }
-    const upstream_entry *upstream = m_context.rows.upstream(token.upstreamId);
     upstream_gate *gate = upstream == nullptr || upstream->serviceId != token.serviceId || m_leaving
         ? nullptr
         : gateFor(*upstream);
@@ -328,8 +331,18 @@
 void gate_role::settleForeignOrder(const datagram &message, const flow_token &token)
 {
     const bool isComplete = m_ledger.inherits(token.gateIncarnation, token.upstreamId);
+    if (!isComplete && mayInheritSoon(token)) {
+        m_context.refuse(message.caller, message.requestId, refusal_status::tryAgain, shortRetry);
+        return;
+    }
     const order_state state = isComplete ? order_state::notRun : order_state::unknown;
-    const order_key key {token.nonce, message.requestId};
+    if (!isComplete) {
+        m_context.output.logEvent("order_unknown",
+                                  {{"reason", "records of its gate are not here"},
+                                   {"upstream_id", std::to_string(token.upstreamId)},
+                                   {"gate", std::to_string(token.gateIncarnation)}});
+    }
+    const order_key key{token.nonce, message.requestId};
     const wall_time now = m_context.clock.wall();
     if (m_ledger.add(key, token.upstreamId, state, now + recordLife()) == nullptr) {
         m_context.refuse(message.caller, message.requestId, refusal_status::tryAgain, shortRetry);
@@ -339,10 +352,23 @@
                      isComplete ? refusal_status::notRun : refusal_status::unknown);
 }
 
+/// Whether the records of the token's gate, or word of the gate itself, may still be on the way.
+bool gate_role::mayInheritSoon(const flow_token &token) const
+{
+    const bool isOwn = token.gateIncarnation == m_context.members.self().incarnation;
+    const milliseconds tokenAge = m_context.clock.wall() - token.issuedAt;
+    if (!isOwn && tokenAge < m_context.settings.inheritancePatience) {
+        return true; // its gate served a moment ago and may be too new to be known here
+    }
+    const auto since = m_gateSince.find(token.upstreamId);
+    return !isOwn && since != m_gateSince.end()
+        && m_context.clock.monotonic() - since->second < m_context.settings.inheritancePatience;
+}
+
 /// Refuses an order for good: the record keeps every later copy from being run.
 void gate_role::refuseNewOrder(const datagram &message, const flow_token &token)
 {
-    const order_key key {token.nonce, message.requestId};
+    const order_key key{token.nonce, message.requestId};
     const bool isRecorded =
         m_ledger.add(key, token.upstreamId, order_state::notRun, recordExpiry(token)) != nullptr;
     m_context.refuse(message.caller, message.requestId,
@@ -365,7 +391,7 @@
     work.kind = message.kind;
     work.caller = message.caller;
     work.callerHash = token.callerHash;
-    work.key = order_key {token.nonce, message.requestId};
+    work.key = order_key{token.nonce, message.requestId};
     work.service = m_context.rows.service(token.serviceId)->name;
     work.firstPart = message.firstPart;
     work.partCount = message.partCount;
@@ -430,6 +456,11 @@
     m_reviewedMembers = m_context.members.version();
     m_reviewedRevision = m_context.rows.revision();
     const monotonic_time now = m_context.clock.monotonic();
+    for (auto item = m_gateSince.begin(); item != m_gateSince.end();) {
+        const upstream_entry *upstream = m_context.rows.upstream(item->first);
+        const bool isGate = upstream != nullptr && isGateOf(*upstream);
+        item = isGate ? std::next(item) : m_gateSince.erase(item);
+    }
     for (auto item = m_gates.begin(); item != m_gates.end();) {
         upstream_gate &gate = *item->second;
         const upstream_entry *upstream = m_context.rows.upstream(item->first);
@@ -477,9 +508,14 @@
 std::vector<order_handover> gate_role::handovers() const
 {
     std::vector<order_handover> batches;
+    std::set<std::uint32_t> upstreams = m_ledger.inheritedUpstreams();
     for (const auto &[id, issuedAt] : m_lastToken) {
+        upstreams.insert(id);
+    }
+    for (const std::uint32_t id : upstreams) {
         order_handover batch;
-        batch.gateIncarnation = m_context.members.self().incarnation;
+        batch.gateIncarnations = m_ledger.inheritedFrom(id);
+        batch.gateIncarnations.push_back(m_context.members.self().incarnation);
         batch.upstreamId = id;
         batch.records = m_ledger.recordsOf(id);
         batches.push_back(std::move(batch));
@@ -487,9 +523,33 @@
     return batches;
 }
 
+std::vector<order_handover> gate_role::misplacedInheritance() const
+{
+    std::vector<order_handover> batches;
+    for (const std::uint32_t id : m_ledger.inheritedUpstreams()) {
+        const upstream_entry *upstream = m_context.rows.upstream(id);
+        const member *gate = upstream == nullptr ? nullptr : m_context.gates.gateOf(*upstream);
+        const auto passed = m_inheritancePassedTo.find(id);
+        const bool isPassed = gate != nullptr && passed != m_inheritancePassedTo.end()
+            && passed->second == gate->incarnation;
+        if (gate == nullptr || gate->name == m_context.settings.self.name || isPassed) {
+            continue;
+        }
+        batches.push_back(order_handover{m_ledger.inheritedFrom(id), id, m_ledger.recordsOf(id)});
+    }
+    return batches;
+}
+
+void gate_role::onInheritancePassed(std::uint32_t upstreamId, std::uint64_t gateIncarnation)
+{
+    m_inheritancePassedTo[upstreamId] = gateIncarnation;
+}
+
 bool gate_role::inherit(const order_handover &batch)
 {
-    return m_ledger.inherit(batch.gateIncarnation, batch.upstreamId, batch.records);
+    m_inheritancePassedTo.erase(batch.upstreamId);
+    return m_ledger.inherit(batch.gateIncarnations, batch.upstreamId, batch.records,
+                            m_context.clock.wall() + recordLife());
 }
 
 void gate_role::toUpstream(const upstream_entry &upstream, const datagram &message)
--- a/src/core/host_core.cpp
+++ b/src/core/host_core.cpp
@@ -7,9 +7,9 @@
 namespace figstair {
 namespace {
 
-constexpr milliseconds viewPatience {3000};
-constexpr milliseconds handoverInterval {1000};
-constexpr milliseconds leaveLinger {1000};
+constexpr milliseconds viewPatience{3000};
+constexpr milliseconds handoverInterval{1000};
+constexpr milliseconds leaveLinger{1000};
 
 } // namespace
 
@@ -22,7 +22,7 @@
     , m_keys(settings.peerSecret, settings.keySettleTime)
     , m_members(settings.self, settings.membership, clock, m_random(), *this)
     , m_gates(m_members, m_table)
-    , m_context {m_settings, clock, m_random, m_table, m_keys, m_members, m_gates, output}
+    , m_context{m_settings, clock, m_random, m_table, m_keys, m_members, m_gates, output}
     , m_gateRole(m_context)
     , m_receiver(m_context, m_gateRole)
     , m_keeper(m_table, m_keys, m_members, clock, output)
@@ -43,6 +43,8 @@
     m_gateRole.tick();
     if (m_life.is("leaving")) {
         continueLeaving();
+    } else {
+        passInheritanceOn();
     }
 }
 
@@ -117,6 +119,12 @@
         return;
     }
     m_nextHandover = now + handoverInterval;
+    sendHandovers();
+    m_handedOverAt = now;
+}
+
+void host_core::sendHandovers()
+{
     for (auto item = m_handovers.begin(); item != m_handovers.end();) {
         const upstream_entry *upstream = m_table.upstream(item->first);
         const member *heir = upstream == nullptr ? nullptr : m_gates.gateOf(*upstream);
@@ -130,7 +138,20 @@
         m_output.sendHandover(*heir, item->second);
         ++item;
     }
-    m_handedOverAt = now;
+}
+
+/// Sends records taken over from others to the hosts that are gates of their upstreams now.
+void host_core::passInheritanceOn()
+{
+    const monotonic_time now = m_clock.monotonic();
+    if (now < m_nextInheritance) {
+        return;
+    }
+    m_nextInheritance = now + handoverInterval;
+    for (const order_handover &batch : m_gateRole.misplacedInheritance()) {
+        const member *gate = m_gates.gateOf(*m_table.upstream(batch.upstreamId));
+        m_output.sendHandover(*gate, batch);
+    }
 }
 
 void host_core::onDatagram(const endpoint &from, byte_view bytes)
@@ -271,8 +292,9 @@
     return isTaken;
 }
 
-void host_core::onHandoverTaken(std::uint32_t upstreamId)
+void host_core::onHandoverTaken(std::uint32_t upstreamId, std::uint64_t gateIncarnation)
 {
+    m_gateRole.onInheritancePassed(upstreamId, gateIncarnation);
     m_handovers.erase(upstreamId);
     m_handedOverAt = m_clock.monotonic();
 }
--- a/src/core/host_output.cpp
+++ b/src/core/host_output.cpp
@@ -5,7 +5,7 @@
 namespace figstair {
 namespace {
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(counter::count)> counterNames {
+constexpr std::array<std::string_view, static_cast<std::size_t>(counter::count)> counterNames{
     "datagrams_received",    "malformed_datagrams",
     "unauthentic_datagrams", "bad_tokens",
     "flows_opened",          "opens_refused",
@@ -22,7 +22,7 @@
     "control_bytes_sent"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(distribution::count)>
-    distributionNames {"queue_wait_ms", "upstream_time_ms"};
+    distributionNames{"queue_wait_ms", "upstream_time_ms"};
 
 } // namespace
 
--- a/src/core/member.cpp
+++ b/src/core/member.cpp
@@ -6,8 +6,8 @@
 namespace figstair {
 namespace {
 
-constexpr std::array<std::string_view, 6> stateNames {"joining", "alive", "suspect",
-                                                      "leaving", "left",  "dead"};
+constexpr std::array<std::string_view, 6> stateNames{"joining", "alive", "suspect",
+                                                     "leaving", "left",  "dead"};
 
 } // namespace
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -12,15 +12,15 @@
 
 constexpr std::size_t indirectProbes = 2;
 constexpr int retransmitFactor = 3;
-constexpr milliseconds syncInterval {3000};
-constexpr milliseconds absentProbeInterval {1000};
-constexpr milliseconds absentMemory {600000};
+constexpr milliseconds syncInterval{3000};
+constexpr milliseconds absentProbeInterval{1000};
+constexpr milliseconds absentMemory{600000};
 constexpr std::size_t maxRelayedProbes = 256;
 
 std::uint64_t recordHash(const member &host)
 {
     const std::uint64_t mixed = host.incarnation * 0x9E3779B97F4A7C15ULL
-        ^ (std::uint64_t {host.refutation} << 8) ^ static_cast<std::uint64_t>(host.state);
+        ^ (std::uint64_t{host.refutation} << 8) ^ static_cast<std::uint64_t>(host.state);
     return XXH3_64bits_withSeed(host.name.data(), host.name.size(), mixed);
 }
 
@@ -76,7 +76,7 @@
     } else if (type == datagram_type::pingRequest) {
         const member *target = find(message.target);
         if (target != nullptr && m_relayed.size() < maxRelayedProbes) {
-            m_relayed[++m_sequence] = relayed_probe {from, sequence};
+            m_relayed[++m_sequence] = relayed_probe{from, sequence};
             send(datagram_type::ping, m_sequence, target->address, target->name);
         }
     }
@@ -227,15 +227,15 @@
 
 void membership::queueUpdate(const std::string &name)
 {
-    const int count =
-        retransmitFactor * static_cast<int>(std::ceil(std::log2(m_members.size() + 1.0)));
+    const int count = retransmitFactor
+        * static_cast<int>(std::ceil(std::log2(1.0 + static_cast<double>(m_members.size()))));
     for (queued_update &update : m_updates) {
         if (update.name == name) {
             update.remaining = count;
             return;
         }
     }
-    m_updates.push_front(queued_update {name, count});
+    m_updates.push_front(queued_update{name, count});
 }
 
 gossip_message membership::compose(const std::string &receiver)
@@ -271,7 +271,7 @@
             const monotonic_time now = m_clock.monotonic();
             for (const auto &[zone, last] : m_contact) {
                 message.contacts.push_back(
-                    zone_contact {zone, static_cast<std::uint32_t>((now - last).count())});
+                    zone_contact{zone, static_cast<std::uint32_t>((now - last).count())});
             }
         }
     }
@@ -347,7 +347,7 @@
 
 void membership::probe(const member &target)
 {
-    m_pending[++m_sequence] = pending_probe {target.name, m_clock.monotonic(), false};
+    m_pending[++m_sequence] = pending_probe{target.name, m_clock.monotonic(), false};
     send(datagram_type::ping, m_sequence, target.address, target.name);
 }
 
@@ -465,7 +465,7 @@
         const bool reachable = now - contact->second < patience;
         zone_reach &known = m_reach[zone];
         if (known.reachable != reachable) {
-            known = zone_reach {zone, known.version + 1, reachable};
+            known = zone_reach{zone, known.version + 1, reachable};
             changed();
             announce();
         }
@@ -498,7 +498,7 @@
     if (m_index.version == m_version) {
         return m_index;
     }
-    m_index = zone_index {};
+    m_index = zone_index{};
     m_index.version = m_version;
     std::map<std::string, std::vector<std::pair<std::uint64_t, const member *>>> present;
     for (const auto &[name, host] : m_members) {
--- a/src/core/order_ledger.cpp
+++ b/src/core/order_ledger.cpp
@@ -55,21 +55,25 @@
         m_records.erase(record);
         m_expiry.erase(m_expiry.begin());
     }
+    for (auto item = m_inherited.begin(); item != m_inherited.end();) {
+        item = item->second <= now ? m_inherited.erase(item) : std::next(item);
+    }
 }
 
 std::vector<order_record> order_ledger::recordsOf(std::uint32_t upstreamId) const
 {
     std::vector<order_record> records;
     for (const auto &[key, record] : m_records) {
-        if (record.upstreamId == upstreamId) {
+        if (record.upstreamId == upstreamId && record.state != order_state::pending) {
             records.push_back(record);
         }
     }
     return records;
 }
 
-bool order_ledger::inherit(std::uint64_t gateIncarnation, std::uint32_t upstreamId,
-                           const std::vector<order_record> &records)
+bool order_ledger::inherit(const std::vector<std::uint64_t> &gateIncarnations,
+                           std::uint32_t upstreamId, const std::vector<order_record> &records,
+                           wall_time until)
 {
     std::size_t answerBytes = m_answerBytes;
     for (const order_record &record : records) {
@@ -88,13 +92,34 @@
             }
         }
     }
-    m_inherited.emplace(gateIncarnation, upstreamId);
+    for (const std::uint64_t incarnation : gateIncarnations) {
+        m_inherited[{upstreamId, incarnation}] = until;
+    }
     return true;
 }
 
 bool order_ledger::inherits(std::uint64_t gateIncarnation, std::uint32_t upstreamId) const
 {
-    return m_inherited.count({gateIncarnation, upstreamId}) != 0;
+    return m_inherited.count({upstreamId, gateIncarnation}) != 0;
+}
+
+std::vector<std::uint64_t> order_ledger::inheritedFrom(std::uint32_t upstreamId) const
+{
+    std::vector<std::uint64_t> incarnations;
+    for (auto item = m_inherited.lower_bound({upstreamId, 0});
+         item != m_inherited.end() && item->first.first == upstreamId; ++item) {
+        incarnations.push_back(item->first.second);
+    }
+    return incarnations;
+}
+
+std::set<std::uint32_t> order_ledger::inheritedUpstreams() const
+{
+    std::set<std::uint32_t> upstreams;
+    for (const auto &[key, until] : m_inherited) {
+        upstreams.insert(key.first);
+    }
+    return upstreams;
 }
 
 } // namespace figstair
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -33,7 +33,7 @@
             draw -= (*picked)->weight;
             ++picked;
         }
-        chosen.push_back(candidate {(*picked)->id, candidate::notAsked});
+        chosen.push_back(candidate{(*picked)->id, candidate::notAsked});
         totalWeight -= (*picked)->weight;
         usable.erase(picked);
     }
--- a/src/core/receiver.cpp
+++ b/src/core/receiver.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::uint32_t openHops = 8;
 constexpr std::uint32_t requestHops = 3;
-constexpr milliseconds shortRetry {200};
+constexpr milliseconds shortRetry{200};
 
 } // namespace
 
--- a/src/core/state_chart.cpp
+++ b/src/core/state_chart.cpp
@@ -17,15 +17,24 @@
 leaf::result<boost::property_tree::ptree> readXml(std::string_view text)
 {
     boost::property_tree::ptree tree;
-    std::istringstream stream {std::string(text)};
+    std::istringstream stream{std::string(text)};
     try {
         boost::property_tree::read_xml(stream, tree);
     } catch (const boost::property_tree::xml_parser_error &error) {
-        return leaf::new_error(chart_error {error.what()});
+        return leaf::new_error(chart_error{error.what()});
     }
     return tree;
 }
 
+chart_error undefinedTarget(const std::string &state, const std::string &event,
+                            const std::string &target)
+{
+    std::ostringstream text;
+    text << "state '" << state << "' event '" << event << "' leads to undefined state '" << target
+         << "'";
+    return chart_error{text.str()};
+}
+
 state_chart parseShipped(std::string_view text)
 {
     return leaf::try_handle_all(
@@ -43,7 +52,7 @@
     BOOST_LEAF_AUTO(tree, readXml(text));
     const auto root = tree.get_child_optional("scxml");
     if (!root) {
-        return leaf::new_error(chart_error {"no scxml element"});
+        return leaf::new_error(chart_error{"no scxml element"});
     }
     state_chart chart;
     chart.m_initial = root->get("<xmlattr>.initial", "");
@@ -60,14 +69,12 @@
     }
     if (chart.m_states.count(chart.m_initial) == 0) {
         return leaf::new_error(
-            chart_error {"initial state '" + chart.m_initial + "' is not defined"});
+            chart_error{"initial state '" + chart.m_initial + "' is not defined"});
     }
     for (const auto &[state, outgoing] : chart.m_states) {
         for (const auto &[event, target] : outgoing) {
             if (chart.m_states.count(target) == 0) {
-                return leaf::new_error(chart_error {"state '" + state + "' event '" + event
-                                                    + "' leads to undefined state '" + target
-                                                    + "'"});
+                return leaf::new_error(undefinedTarget(state, event, target));
             }
         }
     }
--- a/src/core/table_keeper.cpp
+++ b/src/core/table_keeper.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t editsKept = 256;
 constexpr std::size_t digestsKept = 1024;
-constexpr milliseconds requestInterval {200};
+constexpr milliseconds requestInterval{200};
 
 } // namespace
 
--- a/src/core/upstream_gate.cpp
+++ b/src/core/upstream_gate.cpp
@@ -8,13 +8,13 @@
 
 constexpr std::size_t minQueueCapacity = 16;
 constexpr double retriesKept = 10.0;
-constexpr milliseconds minRetryTime {50};
-constexpr milliseconds maxRetryTime {2000};
+constexpr milliseconds minRetryTime{50};
+constexpr milliseconds maxRetryTime{2000};
 constexpr double usualServiceGain = 0.05;
 constexpr double slowFactor = 5.0;
 constexpr double slowFloorMs = 20.0;
 constexpr int slowAnswersUntilFallBack = 3;
-constexpr milliseconds flowCheckInterval {1000};
+constexpr milliseconds flowCheckInterval{1000};
 constexpr std::uint32_t permille = 1000;
 constexpr std::uint32_t maxParts = 65536;
 
@@ -81,7 +81,7 @@
         return false;
     }
     const std::uint64_t flowLimit =
-        std::uint64_t {m_upstream.connections} * baseLimit() / m_upstream.slots;
+        std::uint64_t{m_upstream.connections} * baseLimit() / m_upstream.slots;
     return m_flows.size() < flowLimit && m_queue.size() < m_queue.capacity() / 2 && limit() > 0;
 }
 
@@ -216,6 +216,7 @@
         return item.partsMissing == 0;
     }
     item.partsSeen[index] = true;
+    item.lastPartAt = m_clock.monotonic();
     --item.partsMissing;
     if (request.kind == request_kind::order) {
         order_record *record = m_ledger.find(request.key);
@@ -296,6 +297,10 @@
     if (item.request.kind != request_kind::order) {
         return;
     }
+    if (state == order_state::unknown) {
+        m_output.logEvent("order_unknown",
+                          {{"reason", "sent without an answer"}, {"upstream", m_upstream.name}});
+    }
     order_record *record = m_ledger.find(item.request.key);
     assert(record != nullptr);
     record->state = state;
@@ -482,6 +487,8 @@
             }
         } else if (now >= work.deadline) {
             cancelLate(current);
+        } else if (lostParts(work)) {
+            forget(current);
         } else {
             maybeResend(current->first, work);
         }
@@ -509,15 +516,28 @@
 {
     const monotonic_time now = m_clock.monotonic();
     const bool isLate = now - item.sentAt >= m_settings.resendAfter;
-    const bool isMissing = m_reportAt > item.sentAt + milliseconds(1)
-        && m_reportedInUse + m_foreign < m_running.size();
-    if (item.request.kind == request_kind::idempotent && isLate && isMissing && !item.resent
-        && item.partsSeen.empty() && m_retries.take()) {
+    if (item.request.kind == request_kind::idempotent && isLate && !item.resent
+        && upstreamLacksSome(item.sentAt) && item.partsSeen.empty() && m_retries.take()) {
         item.resent = true;
         sendWork(correlation, item);
     }
 }
 
+/// Whether a report from after @p since shows that the upstream works on less than was sent.
+bool upstream_gate::upstreamLacksSome(monotonic_time since) const
+{
+    return m_reportAt > since + milliseconds(1) && m_reportedInUse < m_running.size();
+}
+
+/// Whether the upstream has sent what it had of an answer and the rest was lost on its way. The
+/// caller asks for the missing parts by itself.
+bool upstream_gate::lostParts(const work_item &item) const
+{
+    return item.request.kind == request_kind::idempotent && !item.partsSeen.empty()
+        && m_clock.monotonic() - item.lastPartAt >= m_settings.partGap
+        && upstreamLacksSome(item.lastPartAt);
+}
+
 void upstream_gate::expireFlows()
 {
     const monotonic_time now = m_clock.monotonic();
--- a/src/host/event_log.cpp
+++ b/src/host/event_log.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr unsigned linesPerWindow = 20;
-constexpr milliseconds windowLength {1000};
+constexpr milliseconds windowLength{1000};
 
 void appendValue(std::string &line, std::string_view value)
 {
@@ -37,14 +37,14 @@
 {
     auto found = m_windows.find(name);
     if (found == m_windows.end()) {
-        found = m_windows.emplace(std::string(name), window {}).first;
+        found = m_windows.emplace(std::string(name), window{}).first;
     }
     window &current = found->second;
     const monotonic_time now = m_clock.monotonic();
     unsigned dropped = 0;
     if (now - current.start >= windowLength) {
         dropped = current.dropped;
-        current = window {now, 0, 0};
+        current = window{now, 0, 0};
     }
     if (current.written >= linesPerWindow) {
         ++current.dropped;
--- a/src/host/host_process.cpp
+++ b/src/host/host_process.cpp
@@ -30,7 +30,7 @@
 namespace figstair {
 namespace {
 
-constexpr milliseconds tickInterval {20};
+constexpr milliseconds tickInterval{20};
 constexpr std::size_t spansKept = 4096;
 constexpr std::size_t receiveBufferBytes = 65536;
 constexpr int socketBufferBytes = 1 << 20;
@@ -48,7 +48,7 @@
 std::uint64_t makeSeed()
 {
     std::random_device device;
-    return std::uint64_t {device()} << 32 | device();
+    return std::uint64_t{device()} << 32 | device();
 }
 
 } // namespace
@@ -205,7 +205,7 @@
 
     std::string answer(const members_request &)
     {
-        return encode(members_reply {m_core->memberRecords()});
+        return encode(members_reply{m_core->memberRecords()});
     }
     std::string answer(const members_reply &message)
     {
@@ -223,12 +223,14 @@
     }
     std::string answer(const order_handover &message)
     {
-        return m_core->onHandover(message) ? encode(handover_taken {message.upstreamId})
-                                           : std::string();
+        if (!m_core->onHandover(message)) {
+            return {};
+        }
+        return encode(handover_taken{message.upstreamId, m_core->members().self().incarnation});
     }
     std::string answer(const handover_taken &message)
     {
-        m_core->onHandoverTaken(message.upstreamId);
+        m_core->onHandoverTaken(message.upstreamId, message.gateIncarnation);
         return {};
     }
 
@@ -252,10 +254,10 @@
         m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), toAsio<udp::endpoint>(to), 0,
                          ignored);
     }
-    void requestMembers(const member &from) override { sendPeer(from, members_request {}); }
+    void requestMembers(const member &from) override { sendPeer(from, members_request{}); }
     void requestTable(const member &from, std::uint64_t revision) override
     {
-        sendPeer(from, table_request {revision});
+        sendPeer(from, table_request{revision});
     }
     void sendHandover(const member &to, const order_handover &batch) override
     {
--- a/src/host/process_settings.cpp
+++ b/src/host/process_settings.cpp
@@ -35,10 +35,10 @@
 template <typename number>
 bool readNumber(const std::string &text, number least, number most, number &target)
 {
-    number value {};
+    number value{};
     const char *end = text.data() + text.size();
     const auto [rest, status] = std::from_chars(text.data(), end, value);
-    if (status != std::errc {} || rest != end || value < least || value > most) {
+    if (status != std::errc{} || rest != end || value < least || value > most) {
         return false;
     }
     target = value;
@@ -93,7 +93,7 @@
 {
     constexpr const char *nameText = "a name of 1 to 64 characters without space, comma, = or \"";
     constexpr const char *addressText = "an IP address and port such as 10.0.0.1:7000";
-    static const std::vector<known_key> keys {
+    static const std::vector<known_key> keys{
         {"host", "name", true, nameText,
          [](const std::string &v, process_settings &s) { return readName(v, s.host.self.name); }},
         {"host", "zone", true, nameText,
@@ -109,7 +109,7 @@
         {"security", "peer_key", true, "32 hexadecimal digits",
          [](const std::string &v, process_settings &s) {
              const auto key = parsePeerKey(v);
-             s.host.peerSecret = key.value_or(peer_key {});
+             s.host.peerSecret = key.value_or(peer_key{});
              return key.has_value();
          }},
         {"platform", "endpoint", true, addressText,
@@ -201,11 +201,18 @@
         pt::read_ini(stream, tree);
     } catch (const pt::ini_parser_error &error) {
         return leaf::new_error(
-            settings_error {fileName, error.line(), "", "", "an INI file: " + error.message()});
+            settings_error{fileName, error.line(), "", "", "an INI file: " + error.message()});
     }
     return tree;
 }
 
+settings_error unknownKey(const std::string &fileName, std::size_t line, const std::string &section,
+                          std::string name, const std::string &value)
+{
+    name.insert(0, section + ".");
+    return settings_error{fileName, line, std::move(name), value, "a known key"};
+}
+
 bool isKnown(const std::string &section, const std::string &name)
 {
     for (const known_key &key : knownKeys()) {
@@ -230,14 +237,13 @@
     const line_finder lines(text);
     for (const auto &[section, entries] : tree) {
         if (entries.empty()) {
-            return leaf::new_error(settings_error {fileName, lines.find("", section), section,
-                                                   entries.data(), "a key inside a section"});
+            return leaf::new_error(settings_error{fileName, lines.find("", section), section,
+                                                  entries.data(), "a key inside a section"});
         }
         for (const auto &[name, value] : entries) {
             if (!isKnown(section, name)) {
-                return leaf::new_error(settings_error {fileName, lines.find(section, name),
-                                                       section + "." + name, value.data(),
-                                                       "a known key"});
+                return leaf::new_error(
+                    unknownKey(fileName, lines.find(section, name), section, name, value.data()));
             }
         }
     }
@@ -246,11 +252,11 @@
         const std::string path = std::string(key.section) + "." + key.name;
         const auto value = tree.get_optional<std::string>(path);
         if (!value && key.isRequired) {
-            return leaf::new_error(settings_error {fileName, 0, path, "", key.expected});
+            return leaf::new_error(settings_error{fileName, 0, path, "", key.expected});
         }
         if (value && !key.read(*value, settings)) {
-            return leaf::new_error(settings_error {fileName, lines.find(key.section, key.name),
-                                                   path, *value, key.expected});
+            return leaf::new_error(settings_error{fileName, lines.find(key.section, key.name), path,
+                                                  *value, key.expected});
         }
     }
     return settings;
@@ -262,7 +268,7 @@
     std::ostringstream text;
     text << file.rdbuf();
     if (!file) {
-        return leaf::new_error(settings_error {fileName, 0, "", "", "a file that can be read"});
+        return leaf::new_error(settings_error{fileName, 0, "", "", "a file that can be read"});
     }
     return text.str();
 }
--- a/src/host/status_pages.cpp
+++ b/src/host/status_pages.cpp
@@ -18,24 +18,24 @@
 
 json toJson(const member &host)
 {
-    return json {{"name", host.name},
-                 {"zone", host.zone},
-                 {"state", toText(host.state)},
-                 {"address", toString(host.address)},
-                 {"peer_port", host.peerPort},
-                 {"status_port", host.statusPort},
-                 {"incarnation", host.incarnation}};
+    return json{{"name", host.name},
+                {"zone", host.zone},
+                {"state", toText(host.state)},
+                {"address", toString(host.address)},
+                {"peer_port", host.peerPort},
+                {"status_port", host.statusPort},
+                {"incarnation", host.incarnation}};
 }
 
 json toJson(const upstream_gate &gate)
 {
-    return json {{"upstream", gate.upstream().name},
-                 {"id", gate.upstream().id},
-                 {"phase", gate.phase()},
-                 {"limit", gate.limit()},
-                 {"running", gate.running()},
-                 {"waiting", gate.waiting()},
-                 {"flows", gate.flowCount()}};
+    return json{{"upstream", gate.upstream().name},
+                {"id", gate.upstream().id},
+                {"phase", gate.phase()},
+                {"limit", gate.limit()},
+                {"running", gate.running()},
+                {"waiting", gate.waiting()},
+                {"flows", gate.flowCount()}};
 }
 
 std::string toHex(std::uint64_t value)
@@ -71,7 +71,7 @@
         const char *first = target.data() + tracePrefix.size();
         const char *last = target.data() + target.size();
         const auto [rest, status] = std::from_chars(first, last, traceId, hexadecimal);
-        if (status == std::errc {} && rest == last) {
+        if (status == std::errc{} && rest == last) {
             return {200, "application/json", traceJson(traceId)};
         }
         return {400, "text/plain", "id: expected a hexadecimal number\n"};
@@ -95,17 +95,17 @@
         counters[std::string(toText(which))] = m_metrics.value(which);
     }
     const member &self = m_core.members().self();
-    return json {{"host", self.name},
-                 {"zone", self.zone},
-                 {"life", m_core.lifeState()},
-                 {"revision", m_core.currentTable().revision()},
-                 {"digest", m_core.currentTable().digest()},
-                 {"confirmed_age_ms", m_core.tableKeeper().confirmedAge().count()},
-                 {"is_bridge", m_core.members().isBridge()},
-                 {"order_records", m_core.gates().ledger().size()},
-                 {"members", std::move(members)},
-                 {"gates", std::move(gates)},
-                 {"counters", std::move(counters)}}
+    return json{{"host", self.name},
+                {"zone", self.zone},
+                {"life", m_core.lifeState()},
+                {"revision", m_core.currentTable().revision()},
+                {"digest", m_core.currentTable().digest()},
+                {"confirmed_age_ms", m_core.tableKeeper().confirmedAge().count()},
+                {"is_bridge", m_core.members().isBridge()},
+                {"order_records", m_core.gates().ledger().size()},
+                {"members", std::move(members)},
+                {"gates", std::move(gates)},
+                {"counters", std::move(counters)}}
         .dump(1);
 }
 
--- a/src/host/status_server.cpp
+++ b/src/host/status_server.cpp
@@ -17,7 +17,7 @@
 namespace figstair {
 namespace {
 
-constexpr std::chrono::seconds requestTimeout {5};
+constexpr std::chrono::seconds requestTimeout{5};
 
 /// One connection: reads a request, writes the page, closes. Keeps itself alive until then.
 class status_session : public std::enable_shared_from_this<status_session>
--- a/src/peer/peer_links.cpp
+++ b/src/peer/peer_links.cpp
@@ -16,7 +16,7 @@
 using client = websocketpp::client<websocketpp::config::asio_client>;
 using websocketpp::connection_hdl;
 
-constexpr std::size_t maxMessageBytes = 64 * 1024 * 1024;
+constexpr std::size_t maxMessageBytes = std::size_t{64} << 20U;
 constexpr long openTimeoutMs = 1000;
 constexpr std::size_t maxQueuedPerLink = 256;
 constexpr std::size_t maxLinks = 128;
@@ -44,16 +44,16 @@
         m_client.init_asio(&io);
         m_server.set_reuse_addr(true);
         m_server.set_message_handler(
-            [this](connection_hdl link, const server::message_ptr &message) {
+            [this](const connection_hdl &link, const server::message_ptr &message) {
                 answer(m_server, link, message->get_payload());
             });
         m_client.set_message_handler(
-            [this](connection_hdl link, const client::message_ptr &message) {
+            [this](const connection_hdl &link, const client::message_ptr &message) {
                 answer(m_client, link, message->get_payload());
             });
-        m_client.set_open_handler([this](connection_hdl link) { onOpen(link); });
-        m_client.set_close_handler([this](connection_hdl link) { onClosed(link); });
-        m_client.set_fail_handler([this](connection_hdl link) { onClosed(link); });
+        m_client.set_open_handler([this](const connection_hdl &link) { onOpen(link); });
+        m_client.set_close_handler([this](const connection_hdl &link) { onClosed(link); });
+        m_client.set_fail_handler([this](const connection_hdl &link) { onClosed(link); });
         const std::string text = toString(where);
         m_server.listen(text.substr(0, text.rfind(':')), std::to_string(where.port));
         m_server.start_accept();
@@ -104,7 +104,7 @@
     };
 
     template <typename side>
-    void answer(side &links, connection_hdl link, const std::string &message)
+    void answer(side &links, const connection_hdl &link, const std::string &message)
     {
         const std::string reply = m_handler(message);
         if (!reply.empty()) {
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -63,24 +63,24 @@
     for (const order_record &record : message.records) {
         records.push_back(toJson(record));
     }
-    return json::array({message.gateIncarnation, message.upstreamId, std::move(records)});
+    return json::array({message.gateIncarnations, message.upstreamId, std::move(records)});
 }
 
 json toJson(const handover_taken &message)
 {
-    return message.upstreamId;
+    return json::array({message.upstreamId, message.gateIncarnation});
 }
 
 leaf::error_id fail(const std::string &problem)
 {
-    return leaf::new_error(peer_message_error {problem});
+    return leaf::new_error(peer_message_error{problem});
 }
 
 leaf::result<peer_message> readMembers(const json &body)
 {
     const json::binary_t &bytes = body.get_binary();
     BOOST_LEAF_AUTO(members, decodeMembers(byte_view(bytes.data(), bytes.size())));
-    return peer_message(members_reply {std::move(members)});
+    return peer_message(members_reply{std::move(members)});
 }
 
 leaf::result<peer_message> readTableReply(const json &body)
@@ -127,7 +127,7 @@
 leaf::result<peer_message> readHandover(const json &body)
 {
     order_handover batch;
-    batch.gateIncarnation = body.at(0).get<std::uint64_t>();
+    batch.gateIncarnations = body.at(0).get<std::vector<std::uint64_t>>();
     batch.upstreamId = body.at(1).get<std::uint32_t>();
     for (const json &item : body.at(2)) {
         BOOST_LEAF_AUTO(record, readRecord(item));
@@ -140,17 +140,18 @@
 {
     switch (type) {
     case 0:
-        return peer_message(members_request {});
+        return peer_message(members_request{});
     case 1:
         return readMembers(body);
     case 2:
-        return peer_message(table_request {body.get<std::uint64_t>()});
+        return peer_message(table_request{body.get<std::uint64_t>()});
     case 3:
         return readTableReply(body);
     case 4:
         return readHandover(body);
     case 5:
-        return peer_message(handover_taken {body.get<std::uint32_t>()});
+        return peer_message(
+            handover_taken{body.at(0).get<std::uint32_t>(), body.at(1).get<std::uint64_t>()});
     default:
         return fail("message type");
     }
--- a/src/platform/etcd_gateway_store.cpp
+++ b/src/platform/etcd_gateway_store.cpp
@@ -14,7 +14,7 @@
 
 leaf::error_id fail(const std::string &call, const std::string &problem)
 {
-    return leaf::new_error(platform_error {call, problem});
+    return leaf::new_error(platform_error{call, problem});
 }
 
 /// Reads one element of "kvs". Throws json::exception on another shape.
@@ -65,7 +65,7 @@
 leaf::result<std::vector<stored_value>>
 etcd_gateway_store::range(const std::string &first, const std::string &end, std::size_t limit)
 {
-    json request {{"key", toBase64(first)}, {"limit", std::to_string(limit)}};
+    json request{{"key", toBase64(first)}, {"limit", std::to_string(limit)}};
     if (!end.empty()) {
         request["range_end"] = toBase64(end);
     }
@@ -88,11 +88,11 @@
         operations.push_back(
             {{"request_put", {{"key", toBase64(put.key)}, {"value", toBase64(put.value)}}}});
     }
-    const json compare {{"key", toBase64(key)},
-                        {"target", "MOD"},
-                        {"result", "EQUAL"},
-                        {"mod_revision", std::to_string(modRevision)}};
-    const json request {{"compare", json::array({compare})}, {"success", operations}};
+    const json compare{{"key", toBase64(key)},
+                       {"target", "MOD"},
+                       {"result", "EQUAL"},
+                       {"mod_revision", std::to_string(modRevision)}};
+    const json request{{"compare", json::array({compare})}, {"success", operations}};
     BOOST_LEAF_AUTO(body, post("/v3/kv/txn", request.dump()));
     return readBody("txn", body,
                     [](const json &answer) { return answer.value("succeeded", false); });
--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -16,7 +16,7 @@
 namespace figstair {
 namespace {
 
-constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
+constexpr std::size_t maxResponseBytes = std::size_t{64} << 20U;
 constexpr unsigned httpVersion = 11;
 
 /// One HTTP exchange with a time limit over all of it.
@@ -90,10 +90,10 @@
     http_exchange exchange(where, timeout);
     const beast::error_code error = exchange.run(method, path, body);
     if (error) {
-        return leaf::new_error(http_error {toString(where), error.message()});
+        return leaf::new_error(http_error{toString(where), error.message()});
     }
     if (exchange.response().result() != http::status::ok) {
-        return leaf::new_error(http_error {
+        return leaf::new_error(http_error{
             toString(where), "status " + std::to_string(exchange.response().result_int())});
     }
     return exchange.response().body();
--- a/src/platform/table_store.cpp
+++ b/src/platform/table_store.cpp
@@ -15,8 +15,8 @@
 constexpr char headKey[] = "figstair/head";
 constexpr char revisionPrefix[] = "figstair/revision/";
 constexpr char revisionEnd[] = "figstair/revision0";
-constexpr std::size_t maxInlineBytes = 128 * 1024;
-constexpr std::size_t partBytes = 512 * 1024;
+constexpr std::size_t maxInlineBytes = std::size_t{128} << 10U;
+constexpr std::size_t partBytes = std::size_t{512} << 10U;
 constexpr std::uint64_t revisionsPerSnapshot = 64;
 constexpr std::size_t editsPerRead = 32;
 constexpr int commitAttempts = 10;
@@ -50,18 +50,18 @@
 
 std::string encodeHead(const table_head &head, const std::string &editId)
 {
-    return json {{"revision", head.revision},
-                 {"digest", head.digest},
-                 {"edit", editId},
-                 {"snapshot", head.snapshotRevision},
-                 {"snapshot_parts", head.snapshotParts},
-                 {"snapshot_digest", head.snapshotDigest}}
+    return json{{"revision", head.revision},
+                {"digest", head.digest},
+                {"edit", editId},
+                {"snapshot", head.snapshotRevision},
+                {"snapshot_parts", head.snapshotParts},
+                {"snapshot_digest", head.snapshotDigest}}
         .dump();
 }
 
 leaf::error_id fail(const std::string &key, const std::string &problem)
 {
-    return leaf::new_error(stored_table_error {key, problem});
+    return leaf::new_error(stored_table_error{key, problem});
 }
 
 /// Runs @p read on the parsed value and turns what it throws into stored_table_error.
@@ -86,9 +86,9 @@
 leaf::result<revision_entry> decodeEntry(const stored_value &stored)
 {
     return readValue(stored.key, stored.value, [](const json &value) {
-        return revision_entry {value.at("edit").get<std::string>(),
-                               value.at("parts").get<std::size_t>(),
-                               value.at("text").get<std::string>()};
+        return revision_entry{value.at("edit").get<std::string>(),
+                              value.at("parts").get<std::size_t>(),
+                              value.at("text").get<std::string>()};
     });
 }
 
@@ -116,7 +116,7 @@
 {
     BOOST_LEAF_AUTO(stored, m_store.get(headKey));
     if (!stored) {
-        return table_head {};
+        return table_head{};
     }
     const std::int64_t modRevision = stored->modRevision;
     return readValue(headKey, stored->value, [modRevision](const json &value) {
@@ -197,7 +197,7 @@
     table_head next = head;
     next.revision = edit.revision;
     next.digest = digestAfter(edit);
-    puts.push_back(stored_value {headKey, encodeHead(next, edit.editId), 0});
+    puts.push_back(stored_value{headKey, encodeHead(next, edit.editId), 0});
     std::string problem;
     for (int attempt = 0; attempt < commitAttempts; ++attempt) {
         const auto outcome = leaf::try_handle_all([&]() { return tryCommit(head, edit, puts); },
@@ -210,7 +210,7 @@
             return *outcome;
         }
     }
-    return leaf::new_error(platform_error {
+    return leaf::new_error(platform_error{
         "txn", problem + "; whether edit " + edit.editId + " was accepted could not be found out"});
 }
 
@@ -242,14 +242,14 @@
         BOOST_LEAF_CHECK(writeOnce(partKey(editPrefix(edit.editId), part),
                                    text.substr(part * partBytes, partBytes)));
     }
-    const json entry {{"edit", edit.editId}, {"parts", parts}, {"text", isInline ? text : ""}};
-    return std::vector<stored_value> {{revisionKey(edit.revision), entry.dump(), 0}};
+    const json entry{{"edit", edit.editId}, {"parts", parts}, {"text", isInline ? text : ""}};
+    return std::vector<stored_value>{{revisionKey(edit.revision), entry.dump(), 0}};
 }
 
 /// Writes a key that nobody else writes; a key that exists already has this value.
 leaf::result<void> table_store::writeOnce(const std::string &key, const std::string &value)
 {
-    BOOST_LEAF_CHECK(m_store.putIfUnchanged(key, 0, {stored_value {key, value, 0}}));
+    BOOST_LEAF_CHECK(m_store.putIfUnchanged(key, 0, {stored_value{key, value, 0}}));
     return {};
 }
 
@@ -302,7 +302,7 @@
     next.snapshotDigest = current.digest();
     // When another edit moved the head meanwhile, the next one writes a snapshot instead.
     BOOST_LEAF_CHECK(m_store.putIfUnchanged(headKey, head.modRevision,
-                                            {stored_value {headKey, encodeHead(next, ""), 0}}));
+                                            {stored_value{headKey, encodeHead(next, ""), 0}}));
     return {};
 }
 
--- /dev/null
+++ b/src/replay/replay_caller.cpp
@@ -0,0 +1,345 @@
+#include "figstair/replay/replay_caller.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include <boost/leaf.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace figstair {
+namespace {
+
+constexpr milliseconds repeatInterval{400};
+constexpr milliseconds giveUpAfter{10000};
+constexpr milliseconds leastWait{50};
+constexpr std::uint32_t partsPerRequest = 32;
+
+} // namespace
+
+replay_caller::replay_caller(std::string name, const endpoint &where, timeline &time,
+                             replay_network &network, fabric pickHost, caller_tally &tally)
+    : m_name(std::move(name))
+    , m_where(where)
+    , m_time(time)
+    , m_network(network)
+    , m_pickHost(std::move(pickHost))
+    , m_tally(tally)
+    , m_nextId(addressHash(where) | 1)
+{
+    listen();
+}
+
+void replay_caller::listen()
+{
+    m_network.addNode(m_name, "callers", m_where,
+                      [this](const endpoint &, const byte_buffer &bytes) { onDatagram(bytes); });
+}
+
+void replay_caller::moveTo(const endpoint &where)
+{
+    m_where = where;
+    listen();
+}
+
+void replay_caller::open(const std::string &service)
+{
+    m_service = service;
+    pending_request pending;
+    pending.id = ++m_nextId;
+    pending.isOpen = true;
+    pending.startedAt = m_time.monotonic();
+    pending.text = "open " + m_name;
+    sendPending(pending);
+    repeatLater(pending.id, repeatInterval);
+    m_pending.emplace(pending.id, std::move(pending));
+}
+
+void replay_caller::request(const std::string &text, bool isOrder, milliseconds budget,
+                            const std::string &via, bool repeats)
+{
+    pending_request pending;
+    pending.id = ++m_nextId;
+    pending.text = text;
+    pending.isOrder = isOrder;
+    pending.budget = budget;
+    pending.via = via;
+    pending.repeats = repeats;
+    pending.token = m_token;
+    pending.startedAt = m_time.monotonic();
+    sendPending(pending);
+    repeatLater(pending.id, repeatInterval);
+    m_pending.emplace(pending.id, std::move(pending));
+}
+
+void replay_caller::load(const std::string &service, const std::string &text, bool isOrder,
+                         milliseconds pause, milliseconds budget, monotonic_time until, int perFlow)
+{
+    m_load = load_plan{service, text, isOrder, pause, budget, until, 0, perFlow};
+    loadNext();
+}
+
+void replay_caller::loadNext()
+{
+    if (m_time.monotonic() >= m_load.until) {
+        return;
+    }
+    if (isRenewing()) {
+        m_time.after(leastWait, [this] { loadNext(); });
+        return;
+    }
+    if (m_load.perFlow > 0 && m_load.count >= m_load.perFlow) {
+        m_load.count = 0;
+        closeFlow();
+    }
+    if (m_token.empty()) {
+        open(m_load.service);
+        return;
+    }
+    ++m_load.count;
+    std::string text = m_load.text;
+    if (text.rfind("sheet", 0) != 0) {
+        text += "-" + m_name + "-" + std::to_string(m_nextId);
+    }
+    request(text, m_load.isOrder, m_load.budget, "", true);
+}
+
+void replay_caller::sendPending(pending_request &pending)
+{
+    datagram message;
+    message.requestId = pending.id;
+    if (pending.isOpen) {
+        message.type = datagram_type::open;
+        message.service = m_service;
+        message.token = pending.token;
+    } else {
+        message.type = datagram_type::request;
+        message.token = pending.token;
+        message.kind = pending.isOrder ? request_kind::order : request_kind::idempotent;
+        message.budgetMs = static_cast<std::uint32_t>(pending.budget.count());
+        message.payload = byte_view(reinterpret_cast<const std::uint8_t *>(pending.text.data()),
+                                    pending.text.size());
+    }
+    if (pending.text.rfind("sheet", 0) == 0) {
+        const auto range = pending.answer.missing(partsPerRequest);
+        message.firstPart = range ? range->first : 0;
+        message.partCount = range ? range->count : partsPerRequest;
+        pending.rangeEnd = message.firstPart + message.partCount;
+    }
+    byte_buffer bytes;
+    encodeDatagram(message, bytes);
+    const std::size_t copies = pending.via == "all" ? 16 : 1;
+    for (std::size_t copy = 0; copy < copies; ++copy) {
+        ++m_tally.sent;
+        m_network.send(m_where, m_pickHost(pending.via), bytes);
+    }
+}
+
+void replay_caller::repeatLater(std::uint64_t id, milliseconds delay)
+{
+    m_time.after(delay, [this, id] {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end()) {
+            return;
+        }
+        pending_request &pending = found->second;
+        const monotonic_time since = std::max(pending.startedAt, pending.progressAt);
+        if (m_time.monotonic() - since >= giveUpAfter) {
+            ++m_tally.timeouts;
+            const bool isOpen = pending.isOpen;
+            finish(id, "timeout");
+            if (!isOpen) {
+                loseFlow();
+            }
+            return;
+        }
+        if (pending.repeats) {
+            sendPending(pending);
+        }
+        repeatLater(id, repeatInterval);
+    });
+}
+
+void replay_caller::onDatagram(const byte_buffer &bytes)
+{
+    std::size_t consumed = 0;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(message, decodeDatagram(bytes, consumed));
+            const auto pending = m_pending.find(message.requestId);
+            if (pending != m_pending.end()) {
+                onMessage(pending->second, message);
+            }
+            return {};
+        },
+        [] {});
+}
+
+void replay_caller::onMessage(pending_request &pending, const datagram &message)
+{
+    if (message.type == datagram_type::opened) {
+        onOpened(pending, message);
+    } else if (message.type == datagram_type::answer && !pending.isOpen) {
+        onAnswer(pending, message);
+    } else if (message.type == datagram_type::refusal) {
+        onRefusal(pending, message);
+    }
+}
+
+void replay_caller::onOpened(pending_request &pending, const datagram &message)
+{
+    m_token.assign(message.token.begin(), message.token.end());
+    if (!pending.isOpen) {
+        pending.token = m_token;
+        sendPending(pending);
+        return;
+    }
+    m_tally.opened += pending.isRenewal ? 0 : 1;
+    finish(pending.id, "opened");
+}
+
+void replay_caller::onAnswer(pending_request &pending, const datagram &message)
+{
+    if (!message.token.empty()) {
+        m_token.assign(message.token.begin(), message.token.end());
+    }
+    pending.progressAt = m_time.monotonic();
+    pending.answer.add(message);
+    const auto missing = pending.answer.missing(partsPerRequest);
+    if (missing) {
+        if (missing->first >= pending.rangeEnd) {
+            sendPending(pending);
+        }
+        return;
+    }
+    if (!pending.answer.isWhole() || !isOwnAnswer(pending, pending.answer.content())) {
+        ++m_tally.wrongAnswers;
+    }
+    ++m_tally.answered;
+    ++m_answered;
+    m_tally.latenciesMs.push_back((m_time.monotonic() - pending.startedAt).count());
+    m_tally.answerTimes.push_back(m_time.monotonic());
+    finish(pending.id, "answered");
+}
+
+bool replay_caller::isOwnAnswer(const pending_request &pending, const std::string &content)
+{
+    if (pending.text.rfind("sheet", 0) == 0) {
+        std::istringstream words(content.substr(0, content.find('\n')));
+        std::string word;
+        std::string service;
+        words >> word >> word >> word >> service >> word >> m_zone;
+        return service == m_service;
+    }
+    if (content.rfind(pending.text + " ", 0) != 0) {
+        return false;
+    }
+    std::istringstream words(content.substr(pending.text.size()));
+    std::string verb;
+    std::string service;
+    std::string upstream;
+    words >> verb >> service >> upstream >> m_zone;
+    return service == m_service;
+}
+
+void replay_caller::onRefusal(pending_request &pending, const datagram &message)
+{
+    const std::uint64_t id = pending.id;
+    switch (message.status) {
+    case refusal_status::notRun:
+        ++m_tally.refusedNotRun;
+        m_tally.ordersNotRun.insert(pending.text);
+        finish(id, "notRun");
+        renewToken();
+        break;
+    case refusal_status::unknown:
+        ++m_tally.unknown;
+        finish(id, "unknown");
+        renewToken();
+        break;
+    case refusal_status::placeAgain:
+    case refusal_status::badToken:
+        ++m_tally.placeAgain;
+        finish(id, "placeAgain");
+        loseFlow();
+        break;
+    case refusal_status::noService:
+        finish(id, "noService");
+        break;
+    default: {
+        const bool isOver = m_time.monotonic() - pending.startedAt >= pending.budget;
+        if (message.status == refusal_status::overloaded && isOver) {
+            ++m_tally.overloaded;
+            finish(id, "overloaded");
+        }
+        break;
+    }
+    }
+}
+
+void replay_caller::finish(std::uint64_t id, const std::string &outcome)
+{
+    const auto found = m_pending.find(id);
+    m_tally.outcomes[found->second.text] = outcome;
+    const bool isOpen = found->second.isOpen;
+    const bool isRenewal = found->second.isRenewal;
+    m_pending.erase(found);
+    if (!isRenewal && m_load.until > m_time.monotonic()) {
+        const milliseconds pause = isOpen && outcome == "opened" ? milliseconds(0) : m_load.pause;
+        m_time.after(std::max(pause, outcome == "overloaded" ? leastWait : milliseconds(1)),
+                     [this] { loadNext(); });
+    }
+}
+
+void replay_caller::loseFlow()
+{
+    if (!m_token.empty() && m_zone.empty()) {
+        ++m_tally.lostBeforeFirstAnswer;
+    } else if (!m_token.empty()) {
+        ++m_tally.brokenFlows;
+        ++m_tally.brokenByZone[m_zone];
+    }
+    m_token.clear();
+    m_zone.clear();
+}
+
+/// Asks for a token that names the present gate; the flow goes on.
+void replay_caller::renewToken()
+{
+    if (m_token.empty() || isRenewing()) {
+        return;
+    }
+    pending_request pending;
+    pending.id = ++m_nextId;
+    pending.isOpen = true;
+    pending.isRenewal = true;
+    pending.token = m_token;
+    pending.text = "renew " + m_name;
+    pending.startedAt = m_time.monotonic();
+    sendPending(pending);
+    repeatLater(pending.id, repeatInterval);
+    m_pending.emplace(pending.id, std::move(pending));
+}
+
+bool replay_caller::isRenewing() const
+{
+    return std::any_of(m_pending.begin(), m_pending.end(),
+                       [](const auto &item) { return item.second.isRenewal; });
+}
+
+void replay_caller::closeFlow()
+{
+    if (m_token.empty()) {
+        return;
+    }
+    datagram close;
+    close.type = datagram_type::close;
+    close.token = m_token;
+    byte_buffer bytes;
+    encodeDatagram(close, bytes);
+    m_network.send(m_where, m_pickHost(""), bytes);
+    m_token.clear();
+    m_zone.clear();
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/replay/replay_network.cpp
@@ -0,0 +1,102 @@
+#include "figstair/replay/replay_network.h"
+
+#include <algorithm>
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+namespace figstair {
+
+replay_network::replay_network(timeline &time, std::uint64_t seed, milliseconds latency)
+    : m_time(time)
+    , m_random(seed)
+    , m_latency(latency)
+{
+}
+
+void replay_network::addNode(const std::string &name, const std::string &zone,
+                             const endpoint &where, datagram_handler handler, bool isUpstream)
+{
+    m_nodes[where] = node{name, zone, std::move(handler), isUpstream};
+}
+
+void replay_network::send(const endpoint &from, const endpoint &to, byte_view bytes)
+{
+    m_bytesSent += bytes.size();
+    const bool isDoubled = happens(mayDouble(to) ? m_duplicates : m_duplicatesToUpstreams);
+    const int copies = happens(m_loss) ? 0 : (isDoubled ? 2 : 1);
+    for (int copy = 0; copy < copies; ++copy) {
+        m_time.after(delay(), [this, from, to, copied = byte_buffer(bytes.begin(), bytes.end())] {
+            const auto target = m_nodes.find(to);
+            if (target != m_nodes.end() && !isCut(from, to)) {
+                target->second.handler(from, copied);
+            }
+        });
+    }
+}
+
+void replay_network::deliver(const endpoint &from, const endpoint &to,
+                             std::function<void()> delivery)
+{
+    m_time.after(delay(), [this, from, to, delivery = std::move(delivery)] {
+        if (!isCut(from, to)) {
+            delivery();
+        }
+    });
+}
+
+void replay_network::cut(const std::string &a, const std::string &b)
+{
+    m_cuts.emplace(a, b);
+}
+
+void replay_network::heal(const std::string &a, const std::string &b)
+{
+    m_cuts.erase({a, b});
+    m_cuts.erase({b, a});
+}
+
+bool replay_network::isCut(const endpoint &from, const endpoint &to) const
+{
+    const auto source = m_nodes.find(from);
+    const auto target = m_nodes.find(to);
+    if (source == m_nodes.end() || target == m_nodes.end() || from == to) {
+        return false;
+    }
+    return std::any_of(m_cuts.begin(), m_cuts.end(), [&](const auto &cut) {
+        return (matches(source->second, cut.first) && matches(target->second, cut.second))
+            || (matches(source->second, cut.second) && matches(target->second, cut.first));
+    });
+}
+
+bool replay_network::isCutFromPlatform(const endpoint &where) const
+{
+    const auto found = m_nodes.find(where);
+    return std::any_of(m_cuts.begin(), m_cuts.end(), [&](const auto &cut) {
+        return cut.second == "platform" && matches(found->second, cut.first);
+    });
+}
+
+bool replay_network::matches(const node &item, const std::string &name) const
+{
+    return name == "all" || item.name == name || item.zone == name;
+}
+
+bool replay_network::mayDouble(const endpoint &to) const
+{
+    const auto target = m_nodes.find(to);
+    return target == m_nodes.end() || !target->second.isUpstream;
+}
+
+milliseconds replay_network::delay()
+{
+    boost::random::uniform_int_distribution<std::int64_t> extra(0, m_jitter.count());
+    return m_latency + milliseconds(extra(m_random));
+}
+
+bool replay_network::happens(double share)
+{
+    return share > 0 && boost::random::uniform_real_distribution<>(0, 1)(m_random) < share;
+}
+
+} // namespace figstair
--- a/src/table/change_planner.cpp
+++ b/src/table/change_planner.cpp
@@ -93,7 +93,7 @@
         }
     }
     std::vector<row_change> changes;
-    edit_conflict conflict {base.revision(), current.revision(), {}};
+    edit_conflict conflict{base.revision(), current.revision(), {}};
     std::uint32_t nextId = greatestId(current) + 1;
     for (const std::string &key : keys) {
         if (unchanged(baseRows, wantedRows, key) || unchanged(currentRows, wantedRows, key)) {
@@ -161,7 +161,7 @@
             const milliseconds remaining =
                 isRetired ? m_quarantine - (m_now - entry.changedAt) : m_quarantine;
             if (entry.id != change.row.id && remaining.count() > 0) {
-                return leaf::new_error(address_in_quarantine {
+                return leaf::new_error(address_in_quarantine{
                     toString(entry.address), current.service(entry.serviceId)->name, remaining});
             }
         }
@@ -189,7 +189,7 @@
             row.kind == row_kind::upstream && row.state == row_state::retired && expired(row);
         const bool oldKey = row.kind == row_kind::key && row.id < newestKey && expired(row);
         if ((oldUpstream || oldKey) && touched.count(rowKey(row)) == 0) {
-            changes.push_back(row_change {true, row});
+            changes.push_back(row_change{true, row});
         } else if (row.kind == row_kind::upstream) {
             serviceInUse.insert(row.service);
         }
@@ -198,7 +198,7 @@
         const bool oldService =
             row.kind == row_kind::service && row.state == row_state::retired && expired(row);
         if (oldService && serviceInUse.count(row.name) == 0 && touched.count(rowKey(row)) == 0) {
-            changes.push_back(row_change {true, row});
+            changes.push_back(row_change{true, row});
         }
     }
 }
--- a/src/table/edit.cpp
+++ b/src/table/edit.cpp
@@ -16,7 +16,7 @@
 
 json toJson(const row_change &change)
 {
-    return json {{"op", change.purge ? "purge" : "put"}, {"row", toStoredCells(change.row)}};
+    return json{{"op", change.purge ? "purge" : "put"}, {"row", toStoredCells(change.row)}};
 }
 
 json toJson(const table_edit &edit)
@@ -25,12 +25,12 @@
     for (const row_change &change : edit.changes) {
         changes.push_back(toJson(change));
     }
-    return json {{"revision", edit.revision},
-                 {"parent", edit.parentDigest},
-                 {"edit", edit.editId},
-                 {"author", edit.author},
-                 {"at", edit.acceptedAt.time_since_epoch().count()},
-                 {"changes", std::move(changes)}};
+    return json{{"revision", edit.revision},
+                {"parent", edit.parentDigest},
+                {"edit", edit.editId},
+                {"author", edit.author},
+                {"at", edit.acceptedAt.time_since_epoch().count()},
+                {"changes", std::move(changes)}};
 }
 
 leaf::result<row_change> changeFromJson(const json &value)
@@ -62,7 +62,7 @@
 std::string digestAfter(const table_edit &edit)
 {
     const std::string text = encodeEdit(edit);
-    std::array<unsigned char, digestBytes> digest {};
+    std::array<unsigned char, digestBytes> digest{};
     crypto_generichash(digest.data(), digest.size(),
                        reinterpret_cast<const unsigned char *>(text.data()), text.size(), nullptr,
                        0);
@@ -84,12 +84,12 @@
             try {
                 return editFromJson(json::parse(text));
             } catch (const json::exception &error) {
-                return leaf::new_error(edit_error {error.what()});
+                return leaf::new_error(edit_error{error.what()});
             }
         },
         [](const cell_error &error) -> leaf::result<table_edit> {
-            return leaf::new_error(edit_error {"column " + error.column + " value '" + error.value
-                                               + "': expected " + error.expected});
+            return leaf::new_error(edit_error{"column " + error.column + " value '" + error.value
+                                              + "': expected " + error.expected});
         });
 }
 
--- a/src/table/row.cpp
+++ b/src/table/row.cpp
@@ -31,12 +31,12 @@
     storedColumnCount
 };
 
-constexpr std::array<std::string_view, storedColumnCount> columnNames {
+constexpr std::array<std::string_view, storedColumnCount> columnNames{
     "kind",        "name",       "service", "zone",  "address", "weight",     "slots",
     "connections", "cold_limit", "warm_ms", "state", "id",      "changed_at", "secret"};
 
-constexpr std::array<std::string_view, 5> kindNames {"service", "zone", "host", "upstream", "key"};
-constexpr std::array<std::string_view, 4> stateNames {"in", "draining", "out", "retired"};
+constexpr std::array<std::string_view, 5> kindNames{"service", "zone", "host", "upstream", "key"};
+constexpr std::array<std::string_view, 4> stateNames{"in", "draining", "out", "retired"};
 
 constexpr std::size_t maxNameLength = 64;
 constexpr std::uint32_t maxWeight = 1000;
@@ -61,12 +61,12 @@
     leaf::error_id fail(std::size_t index, std::string expected) const
     {
         return leaf::new_error(
-            cell_error {std::string(columnNames[index]), text(index), std::move(expected)});
+            cell_error{std::string(columnNames[index]), text(index), std::move(expected)});
     }
 
     leaf::result<std::string> name(std::size_t index) const
     {
-        const std::string value = text(index);
+        std::string value = text(index);
         const bool charactersFit = value.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
                                                            "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
                                                            "0123456789-_.")
@@ -81,10 +81,10 @@
     leaf::result<number> numberIn(std::size_t index, number least, number most) const
     {
         const std::string value = text(index);
-        number parsed {};
+        number parsed{};
         const char *end = value.data() + value.size();
         const auto [rest, status] = std::from_chars(value.data(), end, parsed);
-        if (status != std::errc {} || rest != end || parsed < least || parsed > most) {
+        if (status != std::errc{} || rest != end || parsed < least || parsed > most) {
             return fail(index,
                         "a whole number from " + std::to_string(least) + " to "
                             + std::to_string(most));
--- a/src/table/sheet.cpp
+++ b/src/table/sheet.cpp
@@ -23,7 +23,7 @@
 
     leaf::result<sheet> parse(std::string_view text)
     {
-        std::istringstream stream {std::string(text)};
+        std::istringstream stream{std::string(text)};
         std::string line;
         while (std::getline(stream, line)) {
             ++m_line;
@@ -42,8 +42,8 @@
 private:
     leaf::error_id fail(std::string column, std::string value, std::string expected) const
     {
-        return leaf::new_error(sheet_error {m_sheet.fileName, m_line, std::move(column),
-                                            std::move(value), std::move(expected)});
+        return leaf::new_error(sheet_error{m_sheet.fileName, m_line, std::move(column),
+                                           std::move(value), std::move(expected)});
     }
 
     leaf::result<void> readLine(const std::string &line)
@@ -68,7 +68,7 @@
     {
         const char *end = text.data() + text.size();
         const auto [rest, status] = std::from_chars(text.data(), end, m_sheet.baseRevision);
-        if (status != std::errc {} || rest != end) {
+        if (status != std::errc{} || rest != end) {
             return fail("revision", text, "a whole number");
         }
         return {};
--- a/src/table/table.cpp
+++ b/src/table/table.cpp
@@ -11,10 +11,10 @@
 leaf::result<void> table::apply(const table_edit &edit)
 {
     if (edit.revision != m_revision + 1) {
-        return leaf::new_error(chain_error {m_revision, edit.revision, "not the next revision"});
+        return leaf::new_error(chain_error{m_revision, edit.revision, "not the next revision"});
     }
     if (edit.parentDigest != m_digest) {
-        return leaf::new_error(chain_error {m_revision, edit.revision, "follows another digest"});
+        return leaf::new_error(chain_error{m_revision, edit.revision, "follows another digest"});
     }
     for (const row_change &change : edit.changes) {
         if (change.purge) {
@@ -32,7 +32,7 @@
                                   const std::vector<table_row> &rows)
 {
     if (revision <= m_revision) {
-        return leaf::new_error(chain_error {m_revision, revision, "not greater than the own"});
+        return leaf::new_error(chain_error{m_revision, revision, "not greater than the own"});
     }
     clear();
     for (const table_row &row : rows) {
@@ -84,14 +84,14 @@
         putZone(row);
         break;
     case row_kind::host:
-        m_hosts[row.name] = named_state {row.name, row.state, row.zone, row.changedAt, true};
+        m_hosts[row.name] = named_state{row.name, row.state, row.zone, row.changedAt, true};
         break;
     case row_kind::upstream:
         putUpstream(row);
         break;
     case row_kind::key:
         purge(row);
-        m_keys.push_back(key_entry {row.id, row.changedAt, row.name, row.secret});
+        m_keys.push_back(key_entry{row.id, row.changedAt, row.name, row.secret});
         break;
     }
 }
--- a/src/wire/datagram.cpp
+++ b/src/wire/datagram.cpp
@@ -106,7 +106,7 @@
     template <typename number_type>
     void head(std::uint64_t value, std::size_t (*encode)(number_type, unsigned char *, std::size_t))
     {
-        std::array<unsigned char, maxItemHeadBytes> buffer {};
+        std::array<unsigned char, maxItemHeadBytes> buffer{};
         const std::size_t size = encode(value, buffer.data(), buffer.size());
         m_out.insert(m_out.end(), buffer.begin(), buffer.begin() + size);
     }
@@ -145,13 +145,13 @@
     callbacks.uint32 = onNumber<std::uint32_t>;
     callbacks.uint64 = onNumber<std::uint64_t>;
     callbacks.byte_string = [](void *context, cbor_data data, std::size_t size) {
-        itemOf(context) = decoded_item {decoded_item::item_type::bytes, 0, data, size};
+        itemOf(context) = decoded_item{decoded_item::item_type::bytes, 0, data, size};
     };
     callbacks.string = [](void *context, cbor_data data, std::size_t size) {
-        itemOf(context) = decoded_item {decoded_item::item_type::text, 0, data, size};
+        itemOf(context) = decoded_item{decoded_item::item_type::text, 0, data, size};
     };
     callbacks.map_start = [](void *context, std::size_t size) {
-        itemOf(context) = decoded_item {decoded_item::item_type::map, size, nullptr, 0};
+        itemOf(context) = decoded_item{decoded_item::item_type::map, size, nullptr, 0};
     };
     return callbacks;
 }
@@ -170,7 +170,7 @@
     bool next(decoded_item &item)
     {
         static const cbor_callbacks callbacks = makeCallbacks();
-        item = decoded_item {};
+        item = decoded_item{};
         if (m_offset >= m_bytes.size()) {
             return false;
         }
@@ -306,7 +306,7 @@
     if (where.port == 0) {
         return;
     }
-    std::array<std::uint8_t, endpointBytes> bytes {};
+    std::array<std::uint8_t, endpointBytes> bytes{};
     std::copy(where.address.begin(), where.address.end(), bytes.begin());
     bytes[16] = static_cast<std::uint8_t>(where.port >> 8);
     bytes[17] = static_cast<std::uint8_t>(where.port & 0xFF);
@@ -315,7 +315,7 @@
 
 leaf::error_id fail(const char *problem)
 {
-    return leaf::new_error(datagram_error {problem});
+    return leaf::new_error(datagram_error{problem});
 }
 
 } // namespace
@@ -415,7 +415,7 @@
         return false;
     }
     const std::size_t size = bytes.size() - peerMacBytes;
-    std::array<std::uint8_t, peerMacBytes> expected {};
+    std::array<std::uint8_t, peerMacBytes> expected{};
     crypto_shorthash_siphashx24(expected.data(), bytes.data(), size, key.data());
     return sodium_memcmp(expected.data(), bytes.data() + size, peerMacBytes) == 0;
 }
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -73,13 +73,13 @@
     message.target = value.at(5).get<std::string>();
     message.updates = membersFromJson(value.at(6));
     for (const json &item : value.at(7)) {
-        message.reach.push_back(zone_reach {item.at(0).get<std::string>(),
-                                            item.at(1).get<std::uint32_t>(),
-                                            item.at(2).get<bool>()});
+        message.reach.push_back(zone_reach{item.at(0).get<std::string>(),
+                                           item.at(1).get<std::uint32_t>(),
+                                           item.at(2).get<bool>()});
     }
     for (const json &item : value.at(8)) {
         message.contacts.push_back(
-            zone_contact {item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>()});
+            zone_contact{item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>()});
     }
     return message;
 }
@@ -91,7 +91,7 @@
     try {
         return read(json::from_cbor(bytes.begin(), bytes.end()));
     } catch (const json::exception &error) {
-        return leaf::new_error(gossip_error {error.what()});
+        return leaf::new_error(gossip_error{error.what()});
     }
 }
 
--- /dev/null
+++ b/tests/core/flow_token_test.cpp
@@ -0,0 +1,93 @@
+#include "figstair/core/flow_token.h"
+
+#include <doctest/doctest.h>
+
+#include "errors.h"
+#include "table_rows.h"
+
+using namespace figstair;
+
+namespace {
+
+constexpr peer_key sealingKey{9, 8, 7};
+constexpr wall_time start{milliseconds(1700000000000)};
+constexpr milliseconds settleTime{10000};
+
+struct token_fixture
+{
+    token_fixture() { addKey(1, start - milliseconds(60000)); }
+
+    void addKey(std::uint32_t id, wall_time createdAt)
+    {
+        table_row row = namedRow(row_kind::key, "key-" + std::to_string(id), id);
+        row.changedAt = createdAt;
+        row.secret = makeSealedKey(sealingKey);
+        edit.changes.push_back(row_change{false, row});
+        edit.revision = rows.revision() + 1;
+        edit.parentDigest = rows.digest();
+        REQUIRE(succeeds([&] { return rows.apply(edit); }));
+        edit.changes.clear();
+        keys.update(rows);
+    }
+
+    static flow_token sample() { return flow_token{3, 17, 0xABCDEF0123456789ULL, start, 42, 99}; }
+
+    table rows;
+    table_edit edit;
+    token_keys keys{sealingKey, settleTime};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(token_fixture, "token_keys: a minted token: verifies with all its members")
+{
+    const flow_token_bytes bytes = keys.mint(sample(), start);
+    const flow_token read = valueOf([&] { return keys.verify(bytes); });
+    CHECK(read.serviceId == 3);
+    CHECK(read.upstreamId == 17);
+    CHECK(read.gateIncarnation == 0xABCDEF0123456789ULL);
+    CHECK(read.issuedAt == start);
+    CHECK(read.nonce == 42);
+    CHECK(read.callerHash == 99);
+}
+
+TEST_CASE_FIXTURE(token_fixture, "token_keys: any bit of a token flipped: is refused")
+{
+    const flow_token_bytes bytes = keys.mint(sample(), start);
+    for (std::size_t bit = 0; bit < bytes.size() * 8; ++bit) {
+        flow_token_bytes forged = bytes;
+        forged[bit / 8] ^= static_cast<std::uint8_t>(1U << (bit % 8));
+        CHECK(errorOf<token_error>([&] { return keys.verify(forged); }).has_value());
+    }
+}
+
+TEST_CASE_FIXTURE(token_fixture, "token_keys: a truncated token: is refused for its size")
+{
+    const flow_token_bytes bytes = keys.mint(sample(), start);
+    const auto error = errorOf<token_error>(
+        [&] { return keys.verify(byte_view(bytes.data(), bytes.size() - 1)); });
+    REQUIRE(error.has_value());
+    CHECK(error->reason == token_error::problem::size);
+}
+
+TEST_CASE_FIXTURE(token_fixture, "token_keys: a new key: mints only when it has settled")
+{
+    const flow_token_bytes before = keys.mint(sample(), start);
+    token_keys lateHost(sealingKey, settleTime);
+    lateHost.update(rows);
+    addKey(2, start);
+    const flow_token_bytes unsettled = keys.mint(sample(), start + settleTime / 2);
+    CHECK(succeeds([&] { return lateHost.verify(unsettled); }));
+    const flow_token_bytes settled = keys.mint(sample(), start + settleTime);
+    const auto error = errorOf<token_error>([&] { return lateHost.verify(settled); });
+    REQUIRE(error.has_value());
+    CHECK(error->reason == token_error::problem::unknownKey);
+    CHECK(succeeds([&] { return keys.verify(before); }));
+}
+
+TEST_CASE_FIXTURE(token_fixture, "token_keys: another sealing key: opens no key")
+{
+    token_keys stranger(peer_key{1}, settleTime);
+    CHECK(stranger.update(rows) == 1);
+    CHECK(stranger.empty());
+}
--- /dev/null
+++ b/tests/core/queue_test.cpp
@@ -0,0 +1,83 @@
+#include <doctest/doctest.h>
+
+#include "figstair/core/fair_queue.h"
+#include "figstair/core/retry_budget.h"
+#include "figstair/core/warm_up.h"
+
+using namespace figstair;
+
+namespace {
+
+constexpr std::uint64_t greedy = 1;
+constexpr std::uint64_t modest = 2;
+
+struct full_queue
+{
+    full_queue()
+    {
+        for (std::uint64_t item = 0; item < 8; ++item) {
+            queue.push(greedy, item);
+        }
+    }
+
+    fair_queue queue{8};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(full_queue,
+                  "fair_queue: full of one caller's items: another's takes the place of one")
+{
+    const auto dropped = queue.push(modest, 100);
+    REQUIRE(dropped.has_value());
+    CHECK(*dropped == 7);
+    CHECK(queue.size() == 8);
+    CHECK(*queue.pop() == 0);
+    CHECK(*queue.pop() == 100);
+    CHECK(*queue.pop() == 1);
+}
+
+TEST_CASE_FIXTURE(full_queue, "fair_queue: full of one caller's items: its next item is refused")
+{
+    CHECK(*queue.push(greedy, 50) == 50);
+    CHECK(queue.size() == 8);
+}
+
+TEST_CASE_FIXTURE(full_queue, "fair_queue: an item removed: is not served")
+{
+    CHECK(queue.remove(greedy, 0));
+    CHECK_FALSE(queue.remove(greedy, 0));
+    CHECK(*queue.pop() == 1);
+}
+
+TEST_CASE("retry_budget: nothing succeeds: retries end")
+{
+    retry_budget budget(0.1, 3);
+    int taken = 0;
+    for (int attempt = 0; attempt < 100; ++attempt) {
+        taken += budget.take() ? 1 : 0;
+    }
+    CHECK(taken == 3);
+    for (int success = 0; success < 11; ++success) {
+        budget.onSuccess();
+    }
+    CHECK(budget.take());
+    CHECK_FALSE(budget.take());
+}
+
+TEST_CASE("warm_up: time alone or completions alone: keep the cold limit")
+{
+    const monotonic_time start{milliseconds(0)};
+    warm_up ramp;
+    ramp.start(start, 1);
+    const milliseconds warmup(1000);
+    CHECK(ramp.limit(start + milliseconds(5000), 4, warmup) == 1);
+    for (int completion = 0; completion < 8; ++completion) {
+        ramp.onCompletion();
+    }
+    CHECK(ramp.limit(start, 4, warmup) == 1);
+    CHECK(ramp.limit(start + milliseconds(500), 4, warmup) == 2);
+    CHECK_FALSE(ramp.done(start + milliseconds(999), 4, warmup));
+    CHECK(ramp.limit(start + milliseconds(1000), 4, warmup) == 4);
+    CHECK(ramp.done(start + milliseconds(1000), 4, warmup));
+}
--- /dev/null
+++ b/tests/core/state_chart_test.cpp
@@ -0,0 +1,39 @@
+#include "figstair/core/state_chart.h"
+
+#include <doctest/doctest.h>
+
+#include "errors.h"
+
+using namespace figstair;
+
+TEST_CASE("state_chart: the shipped charts: begin where their files say")
+{
+    CHECK(hostChart().initial() == "joining");
+    CHECK(upstreamChart().initial() == "unknown");
+}
+
+TEST_CASE("chart_position: an event without a transition: changes nothing")
+{
+    chart_position life(hostChart());
+    CHECK_FALSE(life.fire("freeze"));
+    CHECK(life.is("joining"));
+    CHECK(life.fire("ready"));
+    CHECK(life.fire("freeze"));
+    CHECK(life.is("rejoining"));
+}
+
+TEST_CASE("state_chart: a transition to nowhere: is refused by name")
+{
+    const auto error = errorOf<chart_error>([] {
+        return state_chart::parse("<scxml initial=\"a\"><state id=\"a\">"
+                                  "<transition event=\"e\" target=\"b\"/></state></scxml>");
+    });
+    REQUIRE(error.has_value());
+    CHECK(error->problem == "state 'a' event 'e' leads to undefined state 'b'");
+}
+
+TEST_CASE("state_chart: text that is not XML: is refused")
+{
+    CHECK(errorOf<chart_error>([] { return state_chart::parse("<scxml"); }).has_value());
+    CHECK(errorOf<chart_error>([] { return state_chart::parse("<other/>"); }).has_value());
+}
--- a/tests/standins/fabric.cpp
+++ b/tests/standins/fabric.cpp
@@ -57,7 +57,7 @@
         udp::socket socket;
         udp::endpoint caller;
         udp::endpoint from;
-        buffer bytes {};
+        buffer bytes{};
     };
 
     void receive()
@@ -128,7 +128,7 @@
     std::mt19937_64 m_random;
     double m_duplicateShare;
     udp::endpoint m_from;
-    buffer m_bytes {};
+    buffer m_bytes{};
     std::map<udp::endpoint, std::unique_ptr<caller_side>> m_sides;
 };
 
@@ -147,6 +147,7 @@
     boost::algorithm::split(texts, values["hosts"].as<std::string>(),
                             [](char character) { return character == ','; });
     std::vector<udp::endpoint> hosts;
+    hosts.reserve(texts.size());
     for (const std::string &text : texts) {
         hosts.push_back(figstair::toAsio<udp::endpoint>(standins::requireEndpoint(text)));
     }
--- a/tests/standins/judge.cpp
+++ b/tests/standins/judge.cpp
@@ -52,7 +52,7 @@
 
 std::uint64_t countOf(const json &callers, const char *name)
 {
-    return callers.at("counts").value(name, std::uint64_t {0});
+    return callers.at("counts").value(name, std::uint64_t{0});
 }
 
 std::uint64_t sumOf(const json &upstreams, const char *name)
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -16,7 +16,7 @@
     const standin_words words(argumentValues + 1, argumentValues + argumentCount);
     const std::string command = words.empty() ? "" : words.front();
     const standin_words rest(words.begin() + (words.empty() ? 0 : 1), words.end());
-    static const std::map<std::string, int (*)(const standin_words &)> actions {
+    static const std::map<std::string, int (*)(const standin_words &)> actions{
         {"platform", runPlatform},
         {"fabric", runFabric},
         {"upstreams", runUpstreams},
--- a/tests/standins/upstreams.cpp
+++ b/tests/standins/upstreams.cpp
@@ -74,7 +74,7 @@
         for (const auto &[order, runs] : m_orderRuns) {
             runsMost = std::max(runsMost, runs);
         }
-        return json {
+        return json{
             {"name", m_row.name},     {"service", m_row.service}, {"zone", m_row.zone},
             {"weight", m_row.weight}, {"served", m_served},       {"orders", m_orderRuns.size()},
             {"runs_most", runsMost},  {"foreign", m_foreign},     {"overruns", m_overruns},
@@ -139,7 +139,7 @@
         if (message.service != m_row.service) {
             ++m_foreign;
         }
-        if (m_running.size() >= std::size_t {shedFactor} * m_row.slots) {
+        if (m_running.size() >= std::size_t{shedFactor} * m_row.slots) {
             ++m_sheds;
             datagram refusal;
             refusal.type = datagram_type::refusal;
@@ -240,9 +240,9 @@
     std::mt19937_64 m_random;
     figstair::system_clock_source m_clock;
     udp::endpoint m_from;
-    std::array<std::uint8_t, 65536> m_bytes {};
+    std::array<std::uint8_t, 65536> m_bytes{};
     std::uint64_t m_startId = 0;
-    monotonic_time m_startedAt {};
+    monotonic_time m_startedAt{};
     bool m_isDraining = false;
     std::map<std::uint64_t, std::uint64_t> m_running;
     std::map<std::string, std::uint64_t> m_orderRuns;
@@ -283,7 +283,7 @@
             orders.push_back(order);
         }
     }
-    return json {
+    return json{
         {"upstreams", list}, {"order_runs_most", greatestRuns(upstreams)}, {"orders_run", orders}}
         .dump(1);
 }
