Hold goodput under overload and fence the second gate by reported load

Change: a request is refused on arrival, or dropped before sending, when the expected wait and service time exceed what is left of its budget; the wait counts the items served before it under fair queueing. Foreign load is the reported load less the own running requests.

--- /dev/null
+++ b/bench/benchmark_scene.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "figstair/core/clock_source.h"
+#include "figstair/core/flow_token.h"
+#include "figstair/core/host_output.h"
+#include "figstair/core/membership.h"
+#include "figstair/table/table.h"
+
+namespace bench {
+
+using namespace figstair;
+
+constexpr std::size_t zoneCount = 23;
+constexpr std::size_t upstreamsPerService = 4;
+constexpr peer_key secret{1, 2, 3, 4};
+
+/// A clock that is moved by hand.
+class bench_clock : public clock_source
+{
+public:
+    monotonic_time monotonic() const override { return now; }
+    wall_time wall() const override
+    {
+        return wall_time(milliseconds(1700000000000)) + (now - monotonic_time());
+    }
+    monotonic_time now{milliseconds(1000)};
+};
+
+/// Takes what a host sends and counts it.
+class counting_output : public host_output, public membership_output
+{
+public:
+    void sendDatagram(const endpoint &, byte_view view) override
+    {
+        ++datagrams;
+        bytes += view.size();
+    }
+    void requestMembers(const member &) override { }
+    void requestTable(const member &, std::uint64_t) override { }
+    void sendHandover(const member &, const order_handover &) override { }
+    void logEvent(std::string_view, event_fields) override { }
+    void count(counter, std::uint64_t) override { }
+    void observe(distribution, milliseconds) override { }
+    void recordSpan(const span_record &) override { }
+    void sendGossip(datagram_type type, std::uint64_t sequence, const endpoint &to,
+                    gossip_message &message) override;
+
+    /// Answers all pings sent since the last call, as @p members would.
+    void answerPings(membership &members);
+
+    std::uint64_t datagrams = 0;
+    std::uint64_t bytes = 0;
+
+private:
+    std::vector<std::pair<std::uint64_t, endpoint>> m_pings;
+};
+
+std::string zoneName(std::size_t index);
+endpoint addressOf(std::size_t index, std::uint16_t port);
+
+/// Rows of a table with @p upstreams upstreams in services of four, and a key.
+std::vector<table_row> makeRows(std::size_t upstreams);
+
+/// A table of makeRows().
+table makeTable(std::size_t upstreams);
+
+/// Records of @p count hosts, spread over the zones.
+std::vector<member> makeMembers(std::size_t count);
+
+/// Heap memory in use by this process, in bytes.
+std::size_t allocatedBytes();
+
+} // namespace bench
--- a/include/figstair/core/fair_queue.h
+++ b/include/figstair/core/fair_queue.h
@@ -25,6 +25,9 @@
     /// Removes one item; returns false when it is not waiting.
     bool remove(std::uint64_t caller, std::uint64_t item);
 
+    /// Number of items that would be served before one that @p caller adds now.
+    std::size_t aheadOf(std::uint64_t caller) const;
+
     std::size_t size() const { return m_size; }
     std::size_t capacity() const { return m_capacity; }
 
--- a/include/figstair/core/upstream_gate.h
+++ b/include/figstair/core/upstream_gate.h
@@ -133,6 +133,7 @@
 
     bool joinDuplicate(const work_request &request);
     void pump();
+    bool canEndInTime(const work_item &item, std::size_t ahead) const;
     void send(std::uint64_t correlation, work_item &item);
     void sendWork(std::uint64_t correlation, const work_item &item);
     bool relayPart(work_item &item, const datagram &message);
@@ -177,7 +178,6 @@
     upstream_phase m_reportedPhase = upstream_phase::ready;
     std::uint32_t m_reportedInUse = 0;
     std::uint32_t m_foreign = 0;
-    std::size_t m_peakRunning = 0;
     double m_usualServiceMs = 0;
     int m_slowAnswers = 0;
     int m_probesUnanswered = 0;
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -69,6 +69,17 @@
     return true;
 }
 
+std::size_t fair_queue::aheadOf(std::uint64_t caller) const
+{
+    const auto own = m_callers.find(caller);
+    const std::size_t ownCount = own == m_callers.end() ? 0 : own->second.items.size();
+    std::size_t ahead = 0;
+    for (const auto &[other, waiting] : m_callers) {
+        ahead += std::min(waiting.items.size(), ownCount + 1);
+    }
+    return ahead;
+}
+
 void fair_queue::dropIfEmpty(std::uint64_t caller)
 {
     const auto found = m_callers.find(caller);
--- a/src/core/upstream_gate.cpp
+++ b/src/core/upstream_gate.cpp
@@ -67,6 +67,11 @@
     }
     const std::uint64_t correlation = item.spanId;
     const std::uint64_t caller = item.request.callerHash;
+    if (!canEndInTime(item, m_queue.aheadOf(caller))) {
+        settleOrder(item, order_state::notRun);
+        refuse(item, refusal_status::overloaded, retryTime());
+        return;
+    }
     m_waiting.emplace(correlation, std::move(item));
     const auto dropped = m_queue.push(caller, correlation);
     if (dropped) {
@@ -149,7 +154,7 @@
         }
         const auto found = m_waiting.find(*next);
         assert(found != m_waiting.end());
-        if (m_clock.monotonic() >= found->second.deadline) {
+        if (!canEndInTime(found->second, 0)) {
             dropUnsent(*next, refusal_status::overloaded);
             continue;
         }
@@ -159,11 +164,20 @@
     }
 }
 
+/// Whether a request with @p ahead others before it is likely to be answered by its deadline. While
+/// the upstream's state is not known, it is given the benefit of the doubt.
+bool upstream_gate::canEndInTime(const work_item &item, std::size_t ahead) const
+{
+    const double perSlot = m_usualServiceMs / std::max<double>(1.0, limit());
+    const double expectedMs = m_usualServiceMs + perSlot * static_cast<double>(ahead);
+    const auto leftMs = static_cast<double>((item.deadline - m_clock.monotonic()).count());
+    return leftMs > 0 && (limit() == 0 || expectedMs <= leftMs);
+}
+
 void upstream_gate::send(std::uint64_t correlation, work_item &item)
 {
     item.sent = true;
     item.sentAt = m_clock.monotonic();
-    m_peakRunning = std::max(m_peakRunning, m_running.size());
     m_output.count(counter::requestsSent, 1);
     m_output.observe(distribution::queueWait, item.sentAt - item.arrivedAt);
     sendWork(correlation, item);
@@ -398,7 +412,6 @@
     m_output.logEvent("upstream_started", {{"upstream", m_upstream.name}});
     m_phase.fire("startChanged");
     enterWarming(m_upstream.coldLimit);
-    m_peakRunning = 0;
     while (!m_running.empty()) {
         failSent(m_running.begin(), refusal_status::overloaded);
     }
@@ -408,9 +421,8 @@
 /// off the own limit.
 void upstream_gate::noteForeignLoad(const upstream_report &report)
 {
-    const auto own = static_cast<std::uint32_t>(std::max(m_peakRunning, m_running.size()));
+    const auto own = static_cast<std::uint32_t>(m_running.size());
     m_foreign = report.inUse - std::min(report.inUse, own);
-    m_peakRunning = m_running.size();
 }
 
 void upstream_gate::noteServiceTime(milliseconds duration)
