--- a/include/figstair/core/upstream_gate.h
+++ b/include/figstair/core/upstream_gate.h
@@ -127,7 +127,7 @@
         monotonic_time lastPartAt{};
         std::vector<bool> partsSeen;
         std::uint32_t partsMissing = 0;
-        std::uint64_t spanId = 0;
+        std::uint64_t gateSpan = 0;
     };
     using work_map = std::unordered_map<std::uint64_t, work_item>;
 
@@ -143,6 +143,8 @@
     void dropUnsent(std::uint64_t correlation, refusal_status idempotentStatus);
     void failSent(work_map::iterator item, refusal_status idempotentStatus);
     void forget(work_map::iterator item);
+    void recordSpan(std::string_view name, const work_item &item, std::uint64_t spanId,
+                    std::uint64_t parentId, milliseconds duration);
     void cancelLate(work_map::iterator item);
     void checkRunning();
     void checkQueue();
--- a/include/figstair/replay/replay_caller.h
+++ b/include/figstair/replay/replay_caller.h
@@ -50,6 +50,9 @@
     void request(const std::string &text, bool isOrder, milliseconds budget, const std::string &via,
                  bool repeats);
 
+    /// Sends the very datagram of an earlier request once more, as a late copy of it.
+    void sendCopyOf(const std::string &text, const std::string &via);
+
     /// Keeps making requests until @p until, opening flows as needed.
     /// A flow is closed after @p perFlow requests, or kept when that is 0.
     void load(const std::string &service, const std::string &text, bool isOrder, milliseconds pause,
@@ -117,6 +120,7 @@
     std::string m_service;
     std::string m_zone;
     std::map<std::uint64_t, pending_request> m_pending;
+    std::map<std::string, byte_buffer> m_orders; ///< datagrams by text
     load_plan m_load;
     int m_answered = 0;
 };
--- a/include/figstair/replay/replay_world.h
+++ b/include/figstair/replay/replay_world.h
@@ -51,6 +51,7 @@
     // Timed events.
     void openFlow(const trace_event &event);
     void makeRequest(const trace_event &event);
+    void copyOrder(const trace_event &event);
     void makeLoad(const trace_event &event);
     void moveCaller(const trace_event &event);
     void changeHost(const trace_event &event);
--- a/src/core/upstream_gate.cpp
+++ b/src/core/upstream_gate.cpp
@@ -58,14 +58,14 @@
     work_item item;
     item.arrivedAt = m_clock.monotonic();
     item.deadline = item.arrivedAt + request.budget;
-    item.spanId = ++m_nextCorrelation;
+    item.gateSpan = ++m_nextCorrelation;
+    const std::uint64_t correlation = ++m_nextCorrelation;
     item.request = std::move(request);
     if (m_phase.is("down")) {
         settleOrder(item, order_state::notRun);
         refuse(item, refusal_status::placeAgain, milliseconds(0));
         return;
     }
-    const std::uint64_t correlation = item.spanId;
     const std::uint64_t caller = item.request.callerHash;
     if (!canEndInTime(item, m_queue.aheadOf(caller))) {
         settleOrder(item, order_state::notRun);
@@ -180,6 +180,7 @@
     item.sentAt = m_clock.monotonic();
     m_output.count(counter::requestsSent, 1);
     m_output.observe(distribution::queueWait, item.sentAt - item.arrivedAt);
+    recordSpan("gate", item, item.gateSpan, item.request.parentSpan, item.sentAt - item.arrivedAt);
     sendWork(correlation, item);
 }
 
@@ -194,7 +195,7 @@
     work.firstPart = item.request.firstPart;
     work.partCount = item.request.partCount;
     work.traceId = item.request.traceId;
-    work.spanId = item.spanId;
+    work.spanId = correlation;
     work.payload = item.request.payload;
     m_sender.toUpstream(m_upstream, work);
 }
@@ -272,16 +273,23 @@
 void upstream_gate::forget(work_map::iterator item)
 {
     const work_item &work = item->second;
+    recordSpan("upstream", work, item->first, work.gateSpan, m_clock.monotonic() - work.sentAt);
+    m_running.erase(item);
+}
+
+/// Records a step that ends now.
+void upstream_gate::recordSpan(std::string_view name, const work_item &item, std::uint64_t spanId,
+                               std::uint64_t parentId, milliseconds duration)
+{
     span_record span;
-    span.traceId = work.request.traceId;
-    span.spanId = work.spanId;
-    span.parentId = work.request.parentSpan;
-    span.name = "upstream";
-    span.duration = m_clock.monotonic() - work.sentAt;
-    span.start = m_clock.wall() - span.duration;
+    span.traceId = item.request.traceId;
+    span.spanId = spanId;
+    span.parentId = parentId;
+    span.name = name;
+    span.start = m_clock.wall() - duration;
+    span.duration = duration;
     span.upstreamId = m_upstream.id;
     m_output.recordSpan(span);
-    m_running.erase(item);
 }
 
 void upstream_gate::onRefusal(const datagram &message)
--- a/src/replay/replay_caller.cpp
+++ b/src/replay/replay_caller.cpp
@@ -1,5 +1,7 @@
 #include "figstair/replay/replay_caller.h"
 
+#include "figstair/replay/trace.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -14,6 +16,7 @@
 constexpr milliseconds giveUpAfter{10000};
 constexpr milliseconds leastWait{50};
 constexpr std::uint32_t partsPerRequest = 32;
+constexpr std::size_t copiesThroughAll = 16;
 
 } // namespace
 
@@ -72,6 +75,15 @@
     m_pending.emplace(pending.id, std::move(pending));
 }
 
+void replay_caller::sendCopyOf(const std::string &text, const std::string &via)
+{
+    const auto found = m_orders.find(text);
+    if (found == m_orders.end()) {
+        throw trace_problem{"no order '" + text + "' was sent"};
+    }
+    m_network.send(m_where, m_pickHost(via), found->second);
+}
+
 void replay_caller::load(const std::string &service, const std::string &text, bool isOrder,
                          milliseconds pause, milliseconds budget, monotonic_time until, int perFlow)
 {
@@ -128,7 +140,10 @@
     }
     byte_buffer bytes;
     encodeDatagram(message, bytes);
-    const std::size_t copies = pending.via == "all" ? 16 : 1;
+    if (pending.isOrder) {
+        m_orders[pending.text] = bytes;
+    }
+    const std::size_t copies = pending.via == "all" ? copiesThroughAll : 1;
     for (std::size_t copy = 0; copy < copies; ++copy) {
         ++m_tally.sent;
         m_network.send(m_where, m_pickHost(pending.via), bytes);
--- a/src/replay/replay_world.cpp
+++ b/src/replay/replay_world.cpp
@@ -91,7 +91,8 @@
 const std::map<std::string, replay_world::verb_handler> &replay_world::timedVerbs()
 {
     static const std::map<std::string, verb_handler> verbs{
-        {"open", &replay_world::openFlow},         {"request", &replay_world::makeRequest},
+        {"open", &replay_world::openFlow},
+        {"copy", &replay_world::copyOrder},         {"request", &replay_world::makeRequest},
         {"load", &replay_world::makeLoad},         {"move", &replay_world::moveCaller},
         {"host", &replay_world::changeHost},       {"upstream", &replay_world::changeUpstream},
         {"network", &replay_world::changeNetwork}, {"platform", &replay_world::changePlatform},
@@ -262,6 +263,15 @@
     }
 }
 
+void replay_world::copyOrder(const trace_event &event)
+{
+    std::string text = event.text("text");
+    std::replace(text.begin(), text.end(), '+', ' ');
+    for (replay_caller *caller : callersOf(event.text("caller"))) {
+        caller->sendCopyOf(text, event.text("via"));
+    }
+}
+
 void replay_world::makeLoad(const trace_event &event)
 {
     const milliseconds pause(static_cast<int>(numberOf(event, "pause_ms", 20)));
--- a/tests/standins/callers.cpp
+++ b/tests/standins/callers.cpp
@@ -43,7 +43,7 @@
     std::vector<std::int64_t> latenciesMs;
     std::vector<std::string> ordersRefusedAsNotRun;
     std::vector<std::string> ordersAnswered;
-    std::vector<std::string> longestGaps;
+    std::uint64_t lastTrace = 0;
 };
 
 struct call_plan
@@ -172,6 +172,7 @@
     void fillRequest(datagram &message)
     {
         message.type = datagram_type::request;
+        message.traceId = m_requestId;
         message.token = m_token;
         message.budgetMs = static_cast<std::uint32_t>(requestBudget.count());
         message.kind = m_kind == work_kind::order ? request_kind::order : request_kind::idempotent;
@@ -296,6 +297,7 @@
         if (m_kind == work_kind::order) {
             m_results.ordersAnswered.push_back(m_payload);
         }
+        m_results.lastTrace = m_requestId;
         m_results.latenciesMs.push_back((m_clock.monotonic() - m_startedAt).count());
         endRequest("answered");
     }
@@ -414,7 +416,10 @@
                                  : latencies[static_cast<std::size_t>(
                                      share * static_cast<double>(latencies.size() - 1))];
     };
+    std::ostringstream trace;
+    trace << std::hex << results.lastTrace;
     return json{{"counts", results.counts},
+                {"last_trace", trace.str()},
                 {"broken_by_zone", results.brokenByZone},
                 {"latency_ms", {{"p50", at(0.5)}, {"p99", at(0.99)}, {"most", at(1.0)}}},
                 {"orders_refused_as_not_run", results.ordersRefusedAsNotRun},
