--- a/include/figstair/core/host_core.h
+++ b/include/figstair/core/host_core.h
@@ -60,6 +60,7 @@
     void requestMembers(const member &from) override;
 
     void noticeFreeze();
+    bool mayWork();
     void followLife();
     bool hasFreshView() const;
     void continueLeaving();
@@ -89,6 +90,7 @@
     monotonic_time m_nextInheritance{};
     monotonic_time m_handedOverAt{};
     bool m_handoverStarted = false;
+    bool m_isTableTooOld = false;
     std::map<std::uint32_t, order_handover> m_handovers;
 };
 
--- a/include/figstair/core/host_settings.h
+++ b/include/figstair/core/host_settings.h
@@ -20,6 +20,10 @@
 
     milliseconds keySettleTime{10000}; ///< a key is minted with only after this
     milliseconds tokenLife{12 * 3600 * 1000};
+
+    /// A host whose table was not confirmed for this time sends nothing on: an address may have
+    /// been given to another service meanwhile.
+    milliseconds longestStaleness{24 * 3600 * 1000};
     milliseconds orderWindow{300000}; ///< a token admits new orders for this time
     milliseconds orderMargin{120000}; ///< records outlive the window by this
     std::size_t maxOrderRecords = 60000;
--- a/src/cli/table_command.cpp
+++ b/src/cli/table_command.cpp
@@ -26,8 +26,8 @@
 constexpr int applyAttempts = 8;
 constexpr std::size_t editIdBytes = 16;
 
-/// How long a host that hears from nobody may go on with an old table.
-constexpr milliseconds longestStaleness{6 * 3600 * 1000};
+/// Time by which hosts' clocks and a packet's way may differ.
+constexpr milliseconds quarantineMargin{3600 * 1000};
 
 std::string makeEditId()
 {
@@ -40,7 +40,7 @@
 
 milliseconds quarantine(const process_settings &settings)
 {
-    return settings.host.tokenLife + longestStaleness;
+    return std::max(settings.host.tokenLife, settings.host.longestStaleness) + quarantineMargin;
 }
 
 leaf::result<process_settings> loadSettings(const std::string &fileName)
--- a/src/core/host_core.cpp
+++ b/src/core/host_core.cpp
@@ -64,6 +64,17 @@
     m_members.setOwnState(member_state::joining);
 }
 
+/// Whether packets may be sent on: the host serves or leaves, and its table is not too old.
+bool host_core::mayWork()
+{
+    const bool isTooOld = m_keeper.confirmedAge() > m_settings.longestStaleness;
+    if (isTooOld != m_isTableTooOld) {
+        m_isTableTooOld = isTooOld;
+        m_output.logEvent(isTooOld ? "table_too_old" : "table_confirmed_again", {});
+    }
+    return !isTooOld && (m_life.is("serving") || m_life.is("leaving"));
+}
+
 bool host_core::hasFreshView() const
 {
     const bool isHeard = m_members.lastAck() > m_lifeSince;
@@ -193,7 +204,6 @@
 
 void host_core::dispatchPeer(const endpoint &from, const datagram &message)
 {
-    const bool mayWork = m_life.is("serving") || m_life.is("leaving");
     switch (message.type) {
     case datagram_type::ping:
     case datagram_type::ack:
@@ -201,12 +211,12 @@
         onGossip(from, message);
         break;
     case datagram_type::forwardOpen:
-        if (mayWork) {
+        if (mayWork()) {
             m_gateRole.onOpen(message);
         }
         break;
     case datagram_type::forwardRequest:
-        if (mayWork) {
+        if (mayWork()) {
             m_gateRole.onRequest(message);
         }
         break;
@@ -220,15 +230,14 @@
 
 void host_core::dispatchOther(const endpoint &from, const datagram &message)
 {
-    const bool mayWork = m_life.is("serving") || m_life.is("leaving");
     switch (message.type) {
     case datagram_type::open:
-        if (mayWork) {
+        if (mayWork()) {
             m_receiver.onOpen(from, message);
         }
         break;
     case datagram_type::request:
-        if (mayWork) {
+        if (mayWork()) {
             m_receiver.onRequest(from, message);
         }
         break;
--- a/src/host/process_settings.cpp
+++ b/src/host/process_settings.cpp
@@ -148,6 +148,10 @@
          [](const std::string &v, process_settings &s) {
              return readMs(v, 1000, 3600000, s.host.orderWindow);
          }},
+        {"limits", "longest_staleness_ms", false, "a whole number from 60000 to 604800000",
+         [](const std::string &v, process_settings &s) {
+             return readMs(v, 60000, 604800000, s.host.longestStaleness);
+         }},
         {"limits", "token_life_ms", false, "a whole number from 60000 to 604800000",
          [](const std::string &v, process_settings &s) {
              return readMs(v, 60000, 604800000, s.host.tokenLife);
--- a/src/replay/replay_world.cpp
+++ b/src/replay/replay_world.cpp
@@ -92,11 +92,16 @@
 {
     static const std::map<std::string, verb_handler> verbs{
         {"open", &replay_world::openFlow},
-        {"copy", &replay_world::copyOrder},         {"request", &replay_world::makeRequest},
-        {"load", &replay_world::makeLoad},         {"move", &replay_world::moveCaller},
-        {"host", &replay_world::changeHost},       {"upstream", &replay_world::changeUpstream},
-        {"network", &replay_world::changeNetwork}, {"platform", &replay_world::changePlatform},
-        {"edit", &replay_world::editRow},          {"expect", &replay_world::expect}};
+        {"copy", &replay_world::copyOrder},
+        {"request", &replay_world::makeRequest},
+        {"load", &replay_world::makeLoad},
+        {"move", &replay_world::moveCaller},
+        {"host", &replay_world::changeHost},
+        {"upstream", &replay_world::changeUpstream},
+        {"network", &replay_world::changeNetwork},
+        {"platform", &replay_world::changePlatform},
+        {"edit", &replay_world::editRow},
+        {"expect", &replay_world::expect}};
     return verbs;
 }
 
@@ -141,6 +146,8 @@
     settings.peerSecret = replaySecret;
     settings.seeds = m_seeds;
     settings.orderWindow = m_orderWindow;
+    settings.longestStaleness = milliseconds(static_cast<std::int64_t>(
+        numberOf(event, "staleness_ms", static_cast<double>(settings.longestStaleness.count()))));
     settings.maxOrderRecords = static_cast<std::size_t>(numberOf(event, "order_records", 60000));
     if (m_seeds.size() < seedCount) {
         m_seeds.push_back(settings.self.address);
