Bound control traffic as hosts grow, and count another gate's greatest load

Cause, found by build/figstair-spread (host_cores joined by a virtual network): - seeds were pinged by every host each second, which grows with the fleet; - each message carried the sender's record, the whole table digest, the reach of every zone and, for bridges, contacts of every zone: a bridge among 230 hosts sent 11,163 bytes a second; - a difference of views fetched the whole member list (55 bytes a host): at 10,000 hosts with a change every 1.6 s views always differ somewhere; - with both bridges of a zone among the dead, other zones were not told of them. Change: seeds are pinged only while absent; records, reach and contacts travel when they are new and now and then; changes are sent on at once, abroad by bridges of their own zone; a suspected host is no bridge; views are compared and repaired by slices of about 128 records. Ruled out: probing less often, as it delays the detection of a lost gate.

Second cause: trace two-gates reached a peak of 6 after the change above shifted its timing: each gate took the slots that the other had free for a moment.

--- a/bench/benchmark_scene.cpp
+++ b/bench/benchmark_scene.cpp
@@ -18,7 +18,7 @@
     if (type == datagram_type::ping) {
         m_pings.emplace_back(sequence, to);
     }
-    message.tableDigest = std::string(32, 'd');
+    message.tableDigest = std::string(16, 'd');
     const byte_buffer payload = encodeGossip(message);
     datagram gossip;
     gossip.type = type;
--- a/bench/benchmark_scene.h
+++ b/bench/benchmark_scene.h
@@ -39,7 +39,7 @@
         ++datagrams;
         bytes += view.size();
     }
-    void requestMembers(const member &) override { }
+    void requestMembers(const member &, const member_slice &) override { }
     void requestTable(const member &, std::uint64_t) override { }
     void sendHandover(const member &, const order_handover &) override { }
     void logEvent(std::string_view, event_fields) override { }
--- /dev/null
+++ b/bench/spread.cpp
@@ -0,0 +1,228 @@
+// Control traffic and spread of changes as the number of hosts grows: many host_cores joined by a
+// network of 1 ms in virtual time. One row a size: bytes a host sends each second when nothing
+// happens, time until an accepted edit is in force on the last host, time until the last host knows
+// of a lost rack, bytes a host sends each second meanwhile, processor time a host needs for a
+// second.
+
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "benchmark_scene.h"
+#include "figstair/replay/replay_host.h"
+#include "figstair/replay/replay_network.h"
+#include "figstair/replay/replay_platform.h"
+
+using namespace bench;
+
+namespace {
+
+constexpr std::uint64_t seed = 5;
+constexpr milliseconds tickInterval{50};
+constexpr milliseconds pollInterval{500};
+constexpr milliseconds settleTime{60000};
+constexpr milliseconds quietTime{20000};
+constexpr milliseconds longestWait{120000};
+constexpr std::size_t rackShare = 20;
+constexpr std::uint16_t hostPort = 7000;
+
+/// Hosts, their network and the platform.
+class fleet
+{
+public:
+    explicit fleet(std::size_t hosts)
+        : m_network(m_time, seed, milliseconds(1))
+        , m_platform(secret)
+        , m_rows(makeRows(40))
+    {
+        m_rows.pop_back();
+        m_platform.accept(m_rows, m_time.wall());
+        for (std::size_t index = 0; index < hosts; ++index) {
+            addHost(index);
+        }
+        tick();
+    }
+
+    void run(milliseconds duration) { m_time.runUntil(m_time.monotonic() + duration); }
+
+    /// Runs until @p done holds for every running host; returns the time it took.
+    template <typename condition> milliseconds runUntil(condition done)
+    {
+        const monotonic_time start = m_time.monotonic();
+        while (m_time.monotonic() - start < longestWait) {
+            bool isDone = true;
+            for (const auto &host : m_hosts) {
+                isDone = isDone && (!host->isRunning() || done(*host));
+            }
+            if (isDone) {
+                break;
+            }
+            run(tickInterval);
+        }
+        return m_time.monotonic() - start;
+    }
+
+    void edit()
+    {
+        m_rows.back().weight = m_rows.back().weight % 9 + 2;
+        m_platform.accept(m_rows, m_time.wall());
+    }
+
+    std::set<std::string> killRack()
+    {
+        std::set<std::string> killed;
+        const std::size_t zoneHosts = m_hosts.size() / zoneCount;
+        const std::size_t count = std::min(m_hosts.size() / rackShare, zoneHosts / 2);
+        for (const auto &host : m_hosts) {
+            if (host->zone() == zoneName(1) && killed.size() < count) {
+                killed.insert(host->name());
+                host->kill();
+            }
+        }
+        return killed;
+    }
+
+    double controlBytes() const
+    {
+        double sum = 0;
+        for (const auto &host : m_hosts) {
+            sum += static_cast<double>(host->value(counter::controlBytesSent));
+        }
+        return sum;
+    }
+
+    double greatestControlBytes(const std::map<std::string, double> &before) const
+    {
+        double most = 0;
+        for (const auto &[name, bytes] : bytesByHost()) {
+            most = std::max(most, bytes - before.at(name));
+        }
+        return most;
+    }
+
+    std::map<std::string, double> bytesByHost() const
+    {
+        std::map<std::string, double> bytes;
+        for (const auto &host : m_hosts) {
+            bytes[host->name()] = static_cast<double>(host->value(counter::controlBytesSent));
+        }
+        return bytes;
+    }
+
+    std::uint64_t revision() const { return m_platform.newest().revision(); }
+    std::size_t size() const { return m_hosts.size(); }
+
+private:
+    void addHost(std::size_t index)
+    {
+        host_settings settings;
+        settings.self.name = "host-" + std::to_string(index);
+        settings.self.zone = zoneName(index);
+        settings.self.address = addressOf(index + 1, hostPort);
+        settings.peerSecret = secret;
+        settings.seeds = {addressOf(1, hostPort), addressOf(2, hostPort), addressOf(3, hostPort)};
+        m_hosts.push_back(
+            std::make_unique<replay_host>(settings, index + 1, m_time, m_network,
+                                          [this](const endpoint &where) { return find(where); }));
+        m_byAddress[settings.self.address] = m_hosts.back().get();
+        m_hosts.back()->start();
+    }
+
+    replay_host *find(const endpoint &where)
+    {
+        const auto found = m_byAddress.find(where);
+        return found == m_byAddress.end() ? nullptr : found->second;
+    }
+
+    void tick()
+    {
+        const bool isPolling = m_time.monotonic() >= m_nextPoll;
+        if (isPolling) {
+            m_nextPoll = m_time.monotonic() + pollInterval;
+        }
+        for (const auto &host : m_hosts) {
+            host->tick();
+            if (isPolling && host->isRunning() && host->core().watchesPlatform()) {
+                table_reply reply;
+                reply.since = host->core().currentTable().revision();
+                reply.edits = m_platform.editsAfter(reply.since);
+                host->core().onTableReply(reply);
+                host->core().onPlatformHead(m_platform.newest().revision(),
+                                            m_platform.newest().digest());
+            }
+        }
+        m_time.after(tickInterval, [this] { tick(); });
+    }
+
+    timeline m_time;
+    replay_network m_network;
+    replay_platform m_platform;
+    std::vector<table_row> m_rows;
+    std::vector<std::unique_ptr<replay_host>> m_hosts;
+    std::map<endpoint, replay_host *> m_byAddress;
+    monotonic_time m_nextPoll{};
+};
+
+void measure(std::size_t hosts)
+{
+    fleet system(hosts);
+    system.run(settleTime);
+    const double before = system.controlBytes();
+    const auto bytesBefore = system.bytesByHost();
+    const auto cpuStart = std::chrono::steady_clock::now();
+    system.run(quietTime);
+    const std::chrono::duration<double> cpu = std::chrono::steady_clock::now() - cpuStart;
+    const double hostSeconds =
+        static_cast<double>(hosts) * static_cast<double>(quietTime.count()) / 1000.0;
+    const double quiet = (system.controlBytes() - before) / hostSeconds;
+    const double quietMost = system.greatestControlBytes(bytesBefore)
+        / (static_cast<double>(quietTime.count()) / 1000.0);
+
+    milliseconds slowest{0};
+    for (int edit = 0; edit < 5; ++edit) {
+        system.edit();
+        const std::uint64_t revision = system.revision();
+        slowest = std::max(slowest, system.runUntil([revision](const replay_host &host) {
+            return host.core().currentTable().revision() >= revision;
+        }));
+        system.run(milliseconds(1700));
+    }
+
+    const double beforeRack = system.controlBytes();
+    const std::set<std::string> killed = system.killRack();
+    const milliseconds noticed = system.runUntil([&killed](const replay_host &host) {
+        for (const std::string &name : killed) {
+            const member *record = host.core().members().find(name);
+            if (record != nullptr && isPresent(record->state)) {
+                return false;
+            }
+        }
+        return true;
+    });
+    const double rack = (system.controlBytes() - beforeRack)
+        / (static_cast<double>(hosts) * std::max(1.0, static_cast<double>(noticed.count()) / 1000));
+    std::cout << "| " << hosts << " | " << std::fixed << std::setprecision(0) << quiet << " | "
+              << quietMost << " | " << slowest.count() << " | " << killed.size() << " | "
+              << noticed.count() << " | " << rack << " | " << std::setprecision(3)
+              << 100.0 * cpu.count() / hostSeconds << "% |\n"
+              << std::flush;
+}
+
+} // namespace
+
+int main(int argumentCount, char **argumentValues)
+{
+    std::cout << "| hosts | control bytes/s sent a host | most of any host | edit in force "
+                 "everywhere (ms) | hosts lost | known everywhere (ms) | bytes/s a host meanwhile "
+                 "| processor a host |\n|---|---|---|---|---|---|---|---|\n";
+    const std::size_t largest = argumentCount > 1 ? std::stoul(argumentValues[1]) : 700;
+    for (const std::size_t hosts : {23, 70, 230, 700, 2300}) {
+        if (hosts <= largest) {
+            measure(hosts);
+        }
+    }
+    return 0;
+}
--- a/include/figstair/core/host_core.h
+++ b/include/figstair/core/host_core.h
@@ -57,7 +57,7 @@
 private:
     void sendGossip(datagram_type type, std::uint64_t sequence, const endpoint &to,
                     gossip_message &message) override;
-    void requestMembers(const member &from) override;
+    void requestMembers(const member &from, const member_slice &slice) override;
 
     void noticeFreeze();
     bool mayWork();
--- a/include/figstair/core/host_output.h
+++ b/include/figstair/core/host_output.h
@@ -42,6 +42,7 @@
     platformOlder,
     platformErrors,
     controlBytesSent,
+    memberSyncs,
     count
 };
 
@@ -85,8 +86,8 @@
 
     virtual void sendDatagram(const endpoint &to, byte_view bytes) = 0;
 
-    /// Asks for all member records; the answer goes to host_core::onMembers().
-    virtual void requestMembers(const member &from) = 0;
+    /// Asks for member records that differ; the answer goes to host_core::onMembers().
+    virtual void requestMembers(const member &from, const member_slice &slice) = 0;
 
     /// Asks for the edits after @p revision; the answer goes to host_core::onTableReply().
     virtual void requestTable(const member &from, std::uint64_t revision) = 0;
--- a/include/figstair/core/member.h
+++ b/include/figstair/core/member.h
@@ -31,11 +31,22 @@
 /// Whether a host takes part: it answers pings and routes packets.
 bool isPresent(member_state state);
 
+/// Whether a host may be chosen as bridge: it takes part and is not suspected.
+bool mayBeBridge(member_state state);
+
 /// Whether a host may be chosen as gate.
 bool mayBeGate(member_state state);
 
 std::string_view toText(member_state state);
 
+/// A part of the member records, by the hash of their names, and what is known of it.
+struct member_slice
+{
+    std::uint32_t index = 0;
+    std::uint32_t count = 1; ///< slices that all records are divided into
+    std::uint64_t digest = 0;
+};
+
 /// Whether hosts of a zone can be reached from the sender's zone. Only hosts of the sender's zone
 /// use it.
 struct zone_reach
--- a/include/figstair/core/membership.h
+++ b/include/figstair/core/membership.h
@@ -24,6 +24,8 @@
     std::size_t bridgedZonesPerProbe = 3;
     std::size_t updatesPerMessage = 6;
     std::size_t announceFanout = 4;
+    std::size_t pushFanout = 2;
+    milliseconds pushDelay{100}; ///< changes within it are sent on together
 };
 
 /// Receives what the membership wants sent.
@@ -36,8 +38,8 @@
     virtual void sendGossip(datagram_type type, std::uint64_t sequence, const endpoint &to,
                             gossip_message &message) = 0;
 
-    /// Asks @p from for all its member records, as the views differ.
-    virtual void requestMembers(const member &from) = 0;
+    /// Asks @p from for its records of @p slice, should they differ.
+    virtual void requestMembers(const member &from, const member_slice &slice) = 0;
 };
 
 /// SWIM in the host's own zone; between zones a few bridges, chosen by rendezvous hashing, watch
@@ -83,6 +85,9 @@
     /// When any other host last answered a ping of this one.
     monotonic_time lastAck() const { return m_lastAck; }
 
+    /// The records of @p slice; none when its digest is that of the own records.
+    std::vector<member> recordsOf(const member_slice &slice) const;
+
     /// Number of other hosts that are present.
     std::size_t presentOthers() const;
 
@@ -115,11 +120,18 @@
         std::vector<std::string> otherZones;
     };
 
+    void sendToSome(std::size_t fanout, bool isAbroad);
     void merge(const member &record);
     void refute(const member &record);
     void store(const member &record);
+    bool isReachNews(const zone_reach &reach) const;
     void mergeReach(const std::vector<zone_reach> &reach);
     void queueUpdate(const std::string &name);
+    void announceSelf();
+    void schedulePush(const member &record);
+    void pushIfDue();
+    int retransmits() const;
+    bool isPresentAt(const endpoint &where) const;
     gossip_message compose(const std::string &receiver);
     void send(datagram_type type, std::uint64_t sequence, const endpoint &to,
               const std::string &receiver, const std::string &target = {});
@@ -137,6 +149,7 @@
     const zone_index &index() const;
     const std::vector<const member *> &bridgesOf(const std::string &zone) const;
     std::uint64_t viewDigest() const;
+    void requestSlice(const member &from);
     void changed();
 
     member m_self;
@@ -150,17 +163,24 @@
     std::vector<endpoint> m_seeds;
     std::map<std::string, zone_reach> m_reach;
     std::map<std::string, monotonic_time> m_contact;
+    std::map<std::string, monotonic_time> m_reachChangedAt;
     std::vector<std::string> m_probeOrder;
     std::size_t m_bridgeCursor = 0;
     std::map<std::uint64_t, pending_probe> m_pending;
     std::map<std::uint64_t, relayed_probe> m_relayed;
     std::deque<queued_update> m_updates;
     std::uint64_t m_sequence = 0;
+    int m_ownAnnouncements = 0;
+    bool m_isPushDue = false;
+    bool m_isPushAbroad = false;
+    monotonic_time m_pushAt{};
+    std::uint64_t m_messagesSent = 0;
     std::uint64_t m_version = 1;
     mutable std::uint64_t m_viewDigest = 0;
     mutable bool m_viewDigestValid = false;
     monotonic_time m_nextProbe{};
     monotonic_time m_nextSync{};
+    std::uint32_t m_nextSlice = 0;
     monotonic_time m_nextSuspectCheck{};
     monotonic_time m_nextAbsentProbe{};
     monotonic_time m_lastAck{};
--- a/include/figstair/core/table_keeper.h
+++ b/include/figstair/core/table_keeper.h
@@ -35,6 +35,7 @@
                  host_output &output);
 
     /// Notes that @p peer has the table at @p revision, confirmed by the platform so long ago.
+    /// @p digest is the beginning of its digest.
     void onPeerRevision(const member &peer, std::uint64_t revision, const std::string &digest,
                         milliseconds confirmedAge);
 
--- a/include/figstair/core/upstream_gate.h
+++ b/include/figstair/core/upstream_gate.h
@@ -28,6 +28,7 @@
     std::size_t queuePerSlot = 8;
     double retryShare = 0.1;
     milliseconds resendAfter{500};
+    milliseconds foreignMemory{1000}; ///< another gate's greatest load counts for this time
     milliseconds partGap{200}; ///< longest pause between parts of one answer
 };
 
@@ -180,6 +181,7 @@
     upstream_phase m_reportedPhase = upstream_phase::ready;
     std::uint32_t m_reportedInUse = 0;
     std::uint32_t m_foreign = 0;
+    monotonic_time m_foreignUntil{};
     double m_usualServiceMs = 0;
     int m_slowAnswers = 0;
     int m_probesUnanswered = 0;
--- a/include/figstair/peer/peer_message.h
+++ b/include/figstair/peer/peer_message.h
@@ -18,6 +18,7 @@
 
 struct members_request
 {
+    member_slice slice;
 };
 struct members_reply
 {
--- a/src/core/host_core.cpp
+++ b/src/core/host_core.cpp
@@ -10,6 +10,7 @@
 constexpr milliseconds viewPatience{3000};
 constexpr milliseconds handoverInterval{1000};
 constexpr milliseconds leaveLinger{1000};
+constexpr std::size_t gossipDigestLength = 16;
 
 } // namespace
 
@@ -326,7 +327,7 @@
                            gossip_message &message)
 {
     message.tableRevision = m_table.revision();
-    message.tableDigest = m_table.digest();
+    message.tableDigest = m_table.digest().substr(0, gossipDigestLength);
     message.confirmedAgeMs = static_cast<std::uint32_t>(m_keeper.confirmedAge().count());
     const byte_buffer payload = encodeGossip(message);
     datagram gossip;
@@ -340,9 +341,10 @@
     m_output.sendDatagram(to, bytes);
 }
 
-void host_core::requestMembers(const member &from)
+void host_core::requestMembers(const member &from, const member_slice &slice)
 {
-    m_output.requestMembers(from);
+    m_output.count(counter::memberSyncs, 1);
+    m_output.requestMembers(from, slice);
 }
 
 } // namespace figstair
--- a/src/core/host_output.cpp
+++ b/src/core/host_output.cpp
@@ -19,7 +19,7 @@
     "upstream_starts",       "freezes",
     "table_edits_applied",   "table_chain_errors",
     "platform_older",        "platform_errors",
-    "control_bytes_sent"};
+    "control_bytes_sent",    "member_syncs"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(distribution::count)>
     distributionNames{"queue_wait_ms", "upstream_time_ms"};
--- a/src/core/member.cpp
+++ b/src/core/member.cpp
@@ -22,6 +22,11 @@
     return state != member_state::left && state != member_state::dead;
 }
 
+bool mayBeBridge(member_state state)
+{
+    return isPresent(state) && state != member_state::suspect;
+}
+
 bool mayBeGate(member_state state)
 {
     return state == member_state::alive || state == member_state::suspect;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -15,7 +15,10 @@
 constexpr milliseconds syncInterval{3000};
 constexpr milliseconds absentProbeInterval{1000};
 constexpr milliseconds absentMemory{600000};
+constexpr milliseconds reachNewsTime{10000};
 constexpr std::size_t maxRelayedProbes = 256;
+constexpr std::size_t recordsPerSlice = 128;
+constexpr std::uint64_t messagesPerOwnRecord = 8;
 
 std::uint64_t recordHash(const member &host)
 {
@@ -24,6 +27,11 @@
     return XXH3_64bits_withSeed(host.name.data(), host.name.size(), mixed);
 }
 
+std::uint32_t sliceOf(const std::string &name, std::uint32_t count)
+{
+    return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()) % count);
+}
+
 } // namespace
 
 membership::membership(member self, const membership_settings &settings, const clock_source &clock,
@@ -49,6 +57,7 @@
 {
     checkProbes();
     checkSuspects();
+    pushIfDue();
     const monotonic_time now = m_clock.monotonic();
     if (now >= m_nextProbe) {
         m_nextProbe = now + m_settings.probeInterval;
@@ -97,11 +106,18 @@
     m_self.state = state;
     ++m_self.refutation;
     store(m_self);
-    queueUpdate(m_self.name);
+    announceSelf();
     announce();
 }
 
 void membership::announce()
+{
+    sendToSome(m_settings.announceFanout, true);
+}
+
+/// Pings a few hosts of the own zone and, when this host is a bridge and @p isAbroad, one bridge of
+/// each other zone.
+void membership::sendToSome(std::size_t fanout, bool isAbroad)
 {
     std::vector<const member *> targets;
     for (const auto &[name, host] : m_members) {
@@ -110,8 +126,8 @@
         }
     }
     std::shuffle(targets.begin(), targets.end(), m_random);
-    targets.resize(std::min(targets.size(), m_settings.announceFanout));
-    if (isBridge()) {
+    targets.resize(std::min(targets.size(), fanout));
+    if (isAbroad && isBridge()) {
         for (const std::string &zone : index().otherZones) {
             const std::vector<const member *> &bridges = bridgesOf(zone);
             if (!bridges.empty()) {
@@ -124,6 +140,31 @@
     }
 }
 
+/// Sends a change on soon, so that all zones know of it within seconds. Only bridges of the
+/// record's own zone send it to other zones.
+void membership::schedulePush(const member &record)
+{
+    if (record.state == member_state::suspect) {
+        return;
+    }
+    if (!m_isPushDue) {
+        m_isPushDue = true;
+        m_pushAt = m_clock.monotonic() + m_settings.pushDelay;
+    }
+    m_isPushAbroad = m_isPushAbroad || record.zone == m_self.zone;
+}
+
+void membership::pushIfDue()
+{
+    if (!m_isPushDue || m_clock.monotonic() < m_pushAt) {
+        return;
+    }
+    const bool isAbroad = m_isPushAbroad;
+    m_isPushDue = false;
+    m_isPushAbroad = false;
+    sendToSome(m_settings.pushFanout, isAbroad);
+}
+
 const member *membership::find(const std::string &name) const
 {
     const auto found = m_members.find(name);
@@ -189,6 +230,7 @@
     }
     store(record);
     queueUpdate(record.name);
+    schedulePush(record);
 }
 
 void membership::refute(const member &record)
@@ -196,7 +238,7 @@
     if (record.incarnation == m_self.incarnation && supersedes(record, m_self)) {
         m_self.refutation = record.refutation + 1;
         store(m_self);
-        queueUpdate(m_self.name);
+        announceSelf();
     }
 }
 
@@ -220,15 +262,55 @@
             || (item.version == known.version && item.reachable && !known.reachable);
         if (newer) {
             known = item;
+            m_reachChangedAt[item.zone] = m_clock.monotonic();
             changed();
         }
     }
 }
 
+/// Asks for one slice in turn; a host that knows of few others asks for everything.
+void membership::requestSlice(const member &from)
+{
+    member_slice slice;
+    slice.count = static_cast<std::uint32_t>(m_members.size() / recordsPerSlice + 1);
+    slice.index = m_nextSlice++ % slice.count;
+    for (const auto &[name, host] : m_members) {
+        slice.digest ^= sliceOf(name, slice.count) == slice.index ? recordHash(host) : 0;
+    }
+    m_output.requestMembers(from, slice);
+}
+
+std::vector<member> membership::recordsOf(const member_slice &slice) const
+{
+    std::vector<member> records;
+    std::uint64_t digest = 0;
+    for (const auto &[name, host] : m_members) {
+        if (slice.count > 0 && sliceOf(name, slice.count) == slice.index) {
+            records.push_back(host);
+            digest ^= recordHash(host);
+        }
+    }
+    if (digest == slice.digest) {
+        records.clear();
+    }
+    return records;
+}
+
+int membership::retransmits() const
+{
+    const auto hosts = static_cast<double>(m_members.size());
+    return retransmitFactor * static_cast<int>(std::ceil(std::log2(hosts + 1.0)));
+}
+
+/// Puts the own record into the next messages.
+void membership::announceSelf()
+{
+    m_ownAnnouncements = retransmits();
+}
+
 void membership::queueUpdate(const std::string &name)
 {
-    const int count = retransmitFactor
-        * static_cast<int>(std::ceil(std::log2(1.0 + static_cast<double>(m_members.size()))));
+    const int count = retransmits();
     for (queued_update &update : m_updates) {
         if (update.name == name) {
             update.remaining = count;
@@ -243,8 +325,13 @@
     gossip_message message;
     message.sender = m_self.name;
     message.viewDigest = viewDigest();
-    message.updates.push_back(m_self);
     const member *receiving = find(receiver);
+    const bool isNews = m_self.state != member_state::alive || m_ownAnnouncements > 0;
+    ++m_messagesSent;
+    if (receiving == nullptr || isNews || m_messagesSent % messagesPerOwnRecord == 0) {
+        message.updates.push_back(m_self);
+        m_ownAnnouncements -= m_ownAnnouncements > 0 ? 1 : 0;
+    }
     if (receiving != nullptr && !mayBeGate(receiving->state)) {
         // The receiver has to see what is said of it to refute it.
         message.updates.push_back(*receiving);
@@ -263,13 +350,16 @@
     }
     if (receiving != nullptr && receiving->zone == m_self.zone) {
         for (const auto &[zone, reach] : m_reach) {
-            if (reach.version > 0) {
+            if (isReachNews(reach)) {
                 message.reach.push_back(reach);
             }
         }
         if (isBridge()) {
             const monotonic_time now = m_clock.monotonic();
             for (const auto &[zone, last] : m_contact) {
+                if (now - last > 2 * m_settings.probeInterval) {
+                    continue;
+                }
                 message.contacts.push_back(
                     zone_contact{zone, static_cast<std::uint32_t>((now - last).count())});
             }
@@ -278,6 +368,17 @@
     return message;
 }
 
+/// Whether a zone's reach is sent along: it is bad or has changed lately, or it is time to repeat
+/// it for hosts that missed the change.
+bool membership::isReachNews(const zone_reach &reach) const
+{
+    const auto since = m_reachChangedAt.find(reach.zone);
+    const bool isRecent =
+        since != m_reachChangedAt.end() && m_clock.monotonic() - since->second < reachNewsTime;
+    return reach.version > 0
+        && (isRecent || !reach.reachable || m_messagesSent % messagesPerOwnRecord == 0);
+}
+
 void membership::send(datagram_type type, std::uint64_t sequence, const endpoint &to,
                       const std::string &receiver, const std::string &target)
 {
@@ -304,7 +405,7 @@
     }
     if (message.viewDigest != viewDigest() && now >= m_nextSync) {
         m_nextSync = now + syncInterval;
-        m_output.requestMembers(*sender);
+        requestSlice(*sender);
     }
 }
 
@@ -466,15 +567,30 @@
         zone_reach &known = m_reach[zone];
         if (known.reachable != reachable) {
             known = zone_reach{zone, known.version + 1, reachable};
+            m_reachChangedAt[zone] = now;
             changed();
             announce();
         }
     }
 }
 
+bool membership::isPresentAt(const endpoint &where) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto &item) {
+        return item.second.address == where && isPresent(item.second.state);
+    });
+}
+
+/// Looks for hosts that are not there: seeds, hosts that left or died, and hosts of zones that
+/// cannot be reached. One of them may be back.
 void membership::probeAbsent()
 {
-    std::vector<endpoint> targets = m_seeds;
+    std::vector<endpoint> targets;
+    for (const endpoint &seed : m_seeds) {
+        if (!isPresentAt(seed)) {
+            targets.push_back(seed);
+        }
+    }
     for (const auto &[name, host] : m_members) {
         const bool unreachable = host.zone != m_self.zone && !zoneReachable(host.zone);
         if (name != m_self.name && (!isPresent(host.state) || unreachable)) {
@@ -507,7 +623,7 @@
             m_index.eligibleVersion[host.zone] += XXH3_64bits(name.data(), name.size());
         }
         auto &scored = present[host.zone];
-        if (isPresent(host.state)) {
+        if (mayBeBridge(host.state)) {
             const std::uint64_t key = XXH3_64bits(host.zone.data(), host.zone.size());
             scored.emplace_back(rendezvousScore(key, name), &host);
         }
--- a/src/core/table_keeper.cpp
+++ b/src/core/table_keeper.cpp
@@ -32,7 +32,8 @@
                                   const std::string &digest, milliseconds confirmedAge)
 {
     const monotonic_time now = m_clock.monotonic();
-    if (revision == m_table.revision() && digest != m_table.digest()) {
+    const bool isSameDigest = m_table.digest().compare(0, digest.size(), digest) == 0;
+    if (revision == m_table.revision() && !isSameDigest) {
         reportBadChain(revision, "a host has another table of the same revision");
         return;
     }
--- a/src/core/upstream_gate.cpp
+++ b/src/core/upstream_gate.cpp
@@ -430,7 +430,12 @@
 void upstream_gate::noteForeignLoad(const upstream_report &report)
 {
     const auto own = static_cast<std::uint32_t>(m_running.size());
-    m_foreign = report.inUse - std::min(report.inUse, own);
+    const std::uint32_t foreign = report.inUse - std::min(report.inUse, own);
+    const monotonic_time now = m_clock.monotonic();
+    if (foreign >= m_foreign || now >= m_foreignUntil) {
+        m_foreign = foreign;
+        m_foreignUntil = now + m_settings.foreignMemory;
+    }
 }
 
 void upstream_gate::noteServiceTime(milliseconds duration)
--- a/src/host/host_process.cpp
+++ b/src/host/host_process.cpp
@@ -203,9 +203,9 @@
             [] { return std::string(); });
     }
 
-    std::string answer(const members_request &)
+    std::string answer(const members_request &message)
     {
-        return encode(members_reply{m_core->memberRecords()});
+        return encode(members_reply{m_core->members().recordsOf(message.slice)});
     }
     std::string answer(const members_reply &message)
     {
@@ -254,7 +254,10 @@
         m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), toAsio<udp::endpoint>(to), 0,
                          ignored);
     }
-    void requestMembers(const member &from) override { sendPeer(from, members_request{}); }
+    void requestMembers(const member &from, const member_slice &slice) override
+    {
+        sendPeer(from, members_request{slice});
+    }
     void requestTable(const member &from, std::uint64_t revision) override
     {
         sendPeer(from, table_request{revision});
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -16,9 +16,9 @@
     return json::binary(bytes);
 }
 
-json toJson(const members_request &)
+json toJson(const members_request &message)
 {
-    return json::array();
+    return json::array({message.slice.index, message.slice.count, message.slice.digest});
 }
 
 json toJson(const members_reply &message)
@@ -140,7 +140,9 @@
 {
     switch (type) {
     case 0:
-        return peer_message(members_request{});
+        return peer_message(members_request{member_slice{body.at(0).get<std::uint32_t>(),
+                                                         body.at(1).get<std::uint32_t>(),
+                                                         body.at(2).get<std::uint64_t>()}});
     case 1:
         return readMembers(body);
     case 2:
--- a/src/replay/replay_host.cpp
+++ b/src/replay/replay_host.cpp
@@ -98,8 +98,8 @@
 
 void replay_host::answerPeer(replay_host &from, const peer_message &message)
 {
-    if (std::holds_alternative<members_request>(message)) {
-        sendPeer(from.address(), members_reply{m_core->memberRecords()});
+    if (const auto *wanted = std::get_if<members_request>(&message)) {
+        sendPeer(from.address(), members_reply{m_core->members().recordsOf(wanted->slice)});
     } else if (const auto *members = std::get_if<members_reply>(&message)) {
         m_core->onMembers(members->members);
     } else if (const auto *request = std::get_if<table_request>(&message)) {
@@ -133,9 +133,9 @@
     m_network.send(address(), to, bytes);
 }
 
-void replay_host::requestMembers(const member &from)
+void replay_host::requestMembers(const member &from, const member_slice &slice)
 {
-    sendPeer(from.address, members_request{});
+    sendPeer(from.address, members_request{slice});
 }
 
 void replay_host::requestTable(const member &from, std::uint64_t revision)
