Send suspicions inside a zone only, and more records in one message

Cause: a rack lost with both bridges of its zone left more records than one message carries; others went abroad in turn only. Change: ten records a message, no suspicions to other zones.

--- a/include/figstair/core/membership.h
+++ b/include/figstair/core/membership.h
@@ -22,7 +22,7 @@
     milliseconds zoneTimeout{2500};
     std::size_t bridgesPerZone = 2;
     std::size_t bridgedZonesPerProbe = 3;
-    std::size_t updatesPerMessage = 6;
+    std::size_t updatesPerMessage = 10;
     std::size_t announceFanout = 4;
     std::size_t pushFanout = 2;
     milliseconds pushDelay{100}; ///< changes within it are sent on together
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -336,19 +336,22 @@
         // The receiver has to see what is said of it to refute it.
         message.updates.push_back(*receiving);
     }
+    const bool isInZone = receiving != nullptr && receiving->zone == m_self.zone;
     const std::size_t limit = std::min(m_settings.updatesPerMessage, m_updates.size());
     for (std::size_t index = 0; index < limit; ++index) {
         queued_update update = m_updates.front();
         m_updates.pop_front();
         const member *record = find(update.name);
-        if (record != nullptr && record->name != m_self.name && record->name != receiver) {
+        const bool isWanted = record != nullptr && record->name != m_self.name
+            && record->name != receiver && (isInZone || record->state != member_state::suspect);
+        if (isWanted) {
             message.updates.push_back(*record);
         }
         if (--update.remaining > 0) {
             m_updates.push_back(update);
         }
     }
-    if (receiving != nullptr && receiving->zone == m_self.zone) {
+    if (isInZone) {
         for (const auto &[zone, reach] : m_reach) {
             if (isReachNews(reach)) {
                 message.reach.push_back(reach);
