--- a/src/core/table_keeper.cpp
+++ b/src/core/table_keeper.cpp
@@ -9,8 +9,8 @@
 namespace figstair {
 namespace {
 
-constexpr std::size_t editsKept = 256;
-constexpr std::size_t digestsKept = 1024;
+constexpr std::size_t editsKept = 2048;
+constexpr std::size_t digestsKept = 4096;
 constexpr milliseconds requestInterval{200};
 
 } // namespace
--- a/src/platform/table_store.cpp
+++ b/src/platform/table_store.cpp
@@ -17,7 +17,8 @@
 constexpr char revisionEnd[] = "figstair/revision0";
 constexpr std::size_t maxInlineBytes = std::size_t{128} << 10U;
 constexpr std::size_t partBytes = std::size_t{512} << 10U;
-constexpr std::uint64_t revisionsPerSnapshot = 64;
+constexpr std::uint64_t leastRevisionsPerSnapshot = 64;
+constexpr std::size_t rowsPerRevision = 4; ///< a snapshot is due when edits come near its size
 constexpr std::size_t editsPerRead = 32;
 constexpr int commitAttempts = 10;
 
@@ -282,12 +283,15 @@
 leaf::result<void> table_store::saveSnapshotIfDue(const table &current)
 {
     BOOST_LEAF_AUTO(head, loadHead());
+    const std::vector<table_row> all = current.rows();
+    const std::uint64_t interval
+        = std::max<std::uint64_t>(leastRevisionsPerSnapshot, all.size() / rowsPerRevision);
     if (head.revision != current.revision()
-        || current.revision() < head.snapshotRevision + revisionsPerSnapshot) {
+        || current.revision() < head.snapshotRevision + interval) {
         return {};
     }
     json rows = json::array();
-    for (const table_row &row : current.rows()) {
+    for (const table_row &row : all) {
         rows.push_back(toStoredCells(row));
     }
     const std::string text = rows.dump();
