Send the records first that few have heard

Cause: what was sent least waited behind what had been sent often. After 700 hosts had started, 700 records with 30 transmissions each filled the messages for minutes; a lost rack's records were sent once and then queued behind them. Ruled out: fewer records a message, as it lengthens the queue. Change: the queue is kept in the order of transmissions left; their number follows the hosts of a zone and the number of zones, not all hosts.

--- a/include/figstair/core/membership.h
+++ b/include/figstair/core/membership.h
@@ -127,6 +127,7 @@
     bool isReachNews(const zone_reach &reach) const;
     void mergeReach(const std::vector<zone_reach> &reach);
     void queueUpdate(const std::string &name);
+    void insertUpdate(const queued_update &update);
     void announceSelf();
     void schedulePush(const member &record);
     void pushIfDue();
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -298,8 +298,11 @@
 
 int membership::retransmits() const
 {
-    const auto hosts = static_cast<double>(m_members.size());
-    return retransmitFactor * static_cast<int>(std::ceil(std::log2(hosts + 1.0)));
+    // A record has to reach the hosts of the own zone, and one host of each other zone. The number
+    // of zones may be that of a moment ago.
+    const std::size_t zones = m_index.otherZones.size() + 1;
+    const auto receivers = static_cast<double>(m_members.size() / zones + zones);
+    return retransmitFactor * static_cast<int>(std::ceil(std::log2(receivers + 1.0)));
 }
 
 /// Puts the own record into the next messages.
@@ -310,14 +313,23 @@
 
 void membership::queueUpdate(const std::string &name)
 {
-    const int count = retransmits();
-    for (queued_update &update : m_updates) {
-        if (update.name == name) {
-            update.remaining = count;
-            return;
-        }
+    const auto known =
+        std::find_if(m_updates.begin(), m_updates.end(),
+                     [&](const queued_update &update) { return update.name == name; });
+    if (known != m_updates.end()) {
+        m_updates.erase(known);
     }
-    m_updates.push_front(queued_update{name, count});
+    insertUpdate(queued_update{name, retransmits()});
+}
+
+/// Keeps the queue in order: what was sent least goes first, so that news does not wait behind what
+/// many have heard.
+void membership::insertUpdate(const queued_update &update)
+{
+    const auto place = std::lower_bound(
+        m_updates.begin(), m_updates.end(), update,
+        [](const queued_update &a, const queued_update &b) { return a.remaining > b.remaining; });
+    m_updates.insert(place, update);
 }
 
 gossip_message membership::compose(const std::string &receiver)
@@ -338,9 +350,10 @@
     }
     const bool isInZone = receiving != nullptr && receiving->zone == m_self.zone;
     const std::size_t limit = std::min(m_settings.updatesPerMessage, m_updates.size());
-    for (std::size_t index = 0; index < limit; ++index) {
-        queued_update update = m_updates.front();
-        m_updates.pop_front();
+    const std::vector<queued_update> sent(m_updates.begin(),
+                                          m_updates.begin() + static_cast<std::ptrdiff_t>(limit));
+    m_updates.erase(m_updates.begin(), m_updates.begin() + static_cast<std::ptrdiff_t>(limit));
+    for (queued_update update : sent) {
         const member *record = find(update.name);
         const bool isWanted = record != nullptr && record->name != m_self.name
             && record->name != receiver && (isInZone || record->state != member_state::suspect);
@@ -348,7 +361,7 @@
             message.updates.push_back(*record);
         }
         if (--update.remaining > 0) {
-            m_updates.push_back(update);
+            insertUpdate(update);
         }
     }
     if (isInZone) {
