Keep formatter and linter clean

Change: no integer division inside a floating point expression; one wrapped line. Behaviour is the same.

--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -301,8 +301,9 @@
     // A record has to reach the hosts of the own zone, and one host of each other zone. The number
     // of zones may be that of a moment ago.
     const std::size_t zones = m_index.otherZones.size() + 1;
-    const auto receivers = static_cast<double>(m_members.size() / zones + zones);
-    return retransmitFactor * static_cast<int>(std::ceil(std::log2(receivers + 1.0)));
+    const std::size_t receivers = m_members.size() / zones + zones;
+    return retransmitFactor
+        * static_cast<int>(std::ceil(std::log2(1.0 + static_cast<double>(receivers))));
 }
 
 /// Puts the own record into the next messages.
--- a/src/platform/table_store.cpp
+++ b/src/platform/table_store.cpp
@@ -284,8 +284,8 @@
 {
     BOOST_LEAF_AUTO(head, loadHead());
     const std::vector<table_row> all = current.rows();
-    const std::uint64_t interval
-        = std::max<std::uint64_t>(leastRevisionsPerSnapshot, all.size() / rowsPerRevision);
+    const std::uint64_t interval =
+        std::max<std::uint64_t>(leastRevisionsPerSnapshot, all.size() / rowsPerRevision);
     if (head.revision != current.revision()
         || current.revision() < head.snapshotRevision + interval) {
         return {};
