Read a request's text in one place of the replay, and drop a counter nobody reads

Four events turned '+' into spaces each for themselves; replay_network counted bytes that nothing asked for. Behaviour is the same.

--- a/include/figstair/replay/replay_network.h
+++ b/include/figstair/replay/replay_network.h
@@ -44,9 +44,6 @@
     void setDuplicatesToUpstreams(double share) { m_duplicatesToUpstreams = share; }
     void setJitter(milliseconds jitter) { m_jitter = jitter; }
 
-    /// Bytes that hosts sent to hosts.
-    std::uint64_t bytesSent() const { return m_bytesSent; }
-
 private:
     struct node
     {
@@ -70,7 +67,6 @@
     double m_duplicatesToUpstreams = 0;
     std::map<endpoint, node> m_nodes;
     std::set<std::pair<std::string, std::string>> m_cuts;
-    std::uint64_t m_bytesSent = 0;
 };
 
 } // namespace figstair
--- a/src/replay/replay_network.cpp
+++ b/src/replay/replay_network.cpp
@@ -22,7 +22,6 @@
 
 void replay_network::send(const endpoint &from, const endpoint &to, byte_view bytes)
 {
-    m_bytesSent += bytes.size();
     const bool isDoubled = happens(mayDouble(to) ? m_duplicates : m_duplicatesToUpstreams);
     const int copies = happens(m_loss) ? 0 : (isDoubled ? 2 : 1);
     for (int copy = 0; copy < copies; ++copy) {
--- a/src/replay/replay_world.cpp
+++ b/src/replay/replay_world.cpp
@@ -25,6 +25,14 @@
     return *parseEndpoint(text);
 }
 
+/// The request's text under "text"; a trace writes spaces as "+".
+std::string textOf(const trace_event &event, const std::string &fallback = {})
+{
+    std::string text = event.text("text", fallback);
+    std::replace(text.begin(), text.end(), '+', ' ');
+    return text;
+}
+
 monotonic_time timeOf(milliseconds at)
 {
     return monotonic_time(milliseconds(1000)) + at;
@@ -261,8 +269,7 @@
     const milliseconds budget(
         static_cast<int>(numberOf(event, "budget_ms", static_cast<double>(defaultBudget.count()))));
     for (replay_caller *caller : callersOf(event.text("caller"))) {
-        std::string text = event.text("text");
-        std::replace(text.begin(), text.end(), '+', ' ');
+        const std::string text = textOf(event);
         const bool isShared = event.text("caller").back() == '*';
         caller->request(isShared ? text + "-" + caller->name() : text,
                         event.text("kind") == "order", budget, event.text("via"),
@@ -272,8 +279,7 @@
 
 void replay_world::copyOrder(const trace_event &event)
 {
-    std::string text = event.text("text");
-    std::replace(text.begin(), text.end(), '+', ' ');
+    const std::string text = textOf(event);
     for (replay_caller *caller : callersOf(event.text("caller"))) {
         caller->sendCopyOf(text, event.text("via"));
     }
@@ -286,8 +292,7 @@
         static_cast<int>(numberOf(event, "budget_ms", static_cast<double>(defaultBudget.count()))));
     const monotonic_time until =
         timeOf(milliseconds(static_cast<std::int64_t>(numberOf(event, "until"))));
-    std::string text = event.text("text", "ask");
-    std::replace(text.begin(), text.end(), '+', ' ');
+    const std::string text = textOf(event, "ask");
     const auto perFlow = static_cast<int>(numberOf(event, "per_flow", 0));
     std::size_t index = 0;
     for (replay_caller *caller : callersOf(event.text("caller"))) {
@@ -497,8 +502,7 @@
 void replay_world::expect(const trace_event &event)
 {
     if (event.has("outcome")) {
-        std::string text = event.text("text");
-        std::replace(text.begin(), text.end(), '+', ' ');
+        const std::string text = textOf(event);
         const std::string actual =
             m_tally.outcomes.count(text) != 0 ? m_tally.outcomes[text] : "none";
         const std::string allowed = "," + event.text("outcome") + ",";
