--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -32,6 +32,17 @@
     return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()) % count);
 }
 
+/// Digest of the records in slice @p index of @p count.
+std::uint64_t sliceDigest(const std::map<std::string, member> &members, std::uint32_t index,
+                          std::uint32_t count)
+{
+    std::uint64_t digest = 0;
+    for (const auto &[name, host] : members) {
+        digest ^= sliceOf(name, count) == index ? recordHash(host) : 0;
+    }
+    return digest;
+}
+
 } // namespace
 
 membership::membership(member self, const membership_settings &settings, const clock_source &clock,
@@ -274,25 +285,21 @@
     member_slice slice;
     slice.count = static_cast<std::uint32_t>(m_members.size() / recordsPerSlice + 1);
     slice.index = m_nextSlice++ % slice.count;
-    for (const auto &[name, host] : m_members) {
-        slice.digest ^= sliceOf(name, slice.count) == slice.index ? recordHash(host) : 0;
-    }
+    slice.digest = sliceDigest(m_members, slice.index, slice.count);
     m_output.requestMembers(from, slice);
 }
 
 std::vector<member> membership::recordsOf(const member_slice &slice) const
 {
     std::vector<member> records;
-    std::uint64_t digest = 0;
+    if (slice.count == 0 || sliceDigest(m_members, slice.index, slice.count) == slice.digest) {
+        return records;
+    }
     for (const auto &[name, host] : m_members) {
-        if (slice.count > 0 && sliceOf(name, slice.count) == slice.index) {
+        if (sliceOf(name, slice.count) == slice.index) {
             records.push_back(host);
-            digest ^= recordHash(host);
         }
     }
-    if (digest == slice.digest) {
-        records.clear();
-    }
     return records;
 }
 
