--- a/include/figstair/cli/commands.h
+++ b/include/figstair/cli/commands.h
@@ -21,6 +21,7 @@
 // Each runs one subcommand with the words behind its name and returns an exit code.
 
 int runHost(const arguments &words);
+int runEntry(const arguments &words);
 int runTable(const arguments &words);
 int runStatus(const arguments &words);
 int runReplay(const arguments &words);
--- a/include/figstair/core/embedded_charts.h
+++ b/include/figstair/core/embedded_charts.h
@@ -10,4 +10,7 @@
 /// Text of charts/upstream.scxml as shipped inside the binary.
 std::string_view upstreamChartText();
 
+/// Text of charts/upstream_health.scxml as shipped inside the binary.
+std::string_view upstreamHealthChartText();
+
 } // namespace figstair
--- /dev/null
+++ b/include/figstair/core/entry_core.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "figstair/core/entry_output.h"
+#include "figstair/core/entry_settings.h"
+#include "figstair/core/flow_placer.h"
+#include "figstair/core/flow_table.h"
+#include "figstair/core/held_flows.h"
+#include "figstair/core/load_board.h"
+#include "figstair/core/peer_roster.h"
+#include "figstair/core/route_table.h"
+#include "figstair/core/service_times.h"
+#include "figstair/core/upstream_directory.h"
+#include "figstair/core/upstream_health.h"
+#include "figstair/wire/entry_message.h"
+
+namespace figstair {
+
+/// All decisions of a host's packet path. Packets, records of the store, reports of other hosts and
+/// time go in; actions come out through entry_output. No socket, no thread, no clock but the one
+/// passed in.
+class entry_core
+{
+public:
+    entry_core(const entry_settings &settings, const clock_source &clock, std::uint64_t seed,
+               entry_output &output);
+    entry_core(const entry_core &) = delete;
+    entry_core &operator=(const entry_core &) = delete;
+
+    /// One packet of a caller; @p bytes is the packet as it came.
+    void onPacket(const flow_packet &packet, byte_view bytes);
+
+    /// One change of a record in the store.
+    void onChange(const record_change &change);
+
+    /// A full listing of the store as of @p revision.
+    void onListing(const std::vector<record_change> &listing, std::uint64_t revision);
+
+    /// See upstream_directory::keepLapsedUntil().
+    void keepLapsedUntil(monotonic_time until) { m_directory.keepLapsedUntil(until); }
+
+    void onPeerReport(const peer_report &report);
+
+    /// Does what is due. To be called at nextDeadline() or earlier.
+    void tick();
+
+    /// The host stood still: times measured across the gap say nothing.
+    void onFreeze();
+
+    /// What this host reports to the others now.
+    peer_report makeReport();
+
+    /// Reports and answers to readiness say from now on that this host leaves.
+    void leave();
+    bool isLeaving() const { return m_isLeaving; }
+
+    /// Hosts that the next report goes to.
+    std::vector<endpoint> reportTargets();
+
+    /// Distance of reports: grows with the number of hosts that get them.
+    milliseconds reportInterval() const;
+
+    /// When tick() has something to do next.
+    monotonic_time nextDeadline() const;
+
+    bool hasConfig() const { return m_routes.isLoaded(); }
+    std::uint64_t configVersion() const { return m_routes.config().version; }
+    const peer_roster &roster() const { return m_roster; }
+    peer_roster &roster() { return m_roster; }
+    upstream_directory &directory() { return m_directory; }
+    const load_board &loads() const { return m_loads; }
+    monotonic_time lastPacketAt() const { return m_lastPacketAt; }
+    void updateSettings(const entry_settings &settings);
+
+private:
+    struct pending_answer
+    {
+        monotonic_time due{};
+        flow_id flow;
+        monotonic_time sentAt{};
+        std::vector<std::uint8_t> opening; ///< the packet, to be sent again elsewhere
+    };
+
+    void onOpening(const flow_packet &packet, byte_view bytes);
+    void onLater(const flow_packet &packet, byte_view bytes);
+    void adopt(const flow_packet &packet, flow_record &record, upstream_index upstream);
+    void place(const flow_id &flow, const route &route, byte_view bytes, bool mayHold);
+    void sendOpening(const flow_id &flow, flow_record &record, byte_view bytes,
+                     const placement_result &choice);
+    void noteAnswer(const flow_packet &packet, flow_record &record);
+    void noteRequest(const flow_packet &packet, flow_record &record);
+    void settle(flow_record &record);
+    void repeatUnanswered(const pending_answer &pending);
+    void releaseHeld();
+    void sweepFlows();
+    void judgeSilence(upstream_index upstream, const flow_id &flow, std::string_view what);
+    unsigned coldPerSecond(const std::string &service) const;
+    flow_record &remember(const flow_id &flow);
+    std::string describe(const flow_id &flow) const;
+
+    entry_settings m_settings;
+    const clock_source &m_clock;
+    entry_output &m_output;
+    route_table m_routes;
+    upstream_directory m_directory;
+    load_board m_loads;
+    upstream_health m_health;
+    peer_roster m_roster;
+    flow_placer m_placer;
+    flow_table m_flows;
+    held_flows m_held;
+    service_times m_times;
+    std::deque<pending_answer> m_pending;
+    monotonic_time m_nextSweep{};
+    monotonic_time m_lastPacketAt{};
+    monotonic_time m_ignoreSilenceUntil{};
+    std::uint64_t m_reportSequence = 0;
+    bool m_isLeaving = false;
+};
+
+/// "caller=10.0.0.1:80 ..." style text of a flow: caller and route address.
+std::string toText(const flow_id &flow);
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/core/peer_roster.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "figstair/core/fleet_records.h"
+
+namespace figstair {
+
+/// The other hosts: who they are by the store's word, who answers by what was heard.
+class peer_roster
+{
+public:
+    struct peer
+    {
+        host_record entry;
+        monotonic_time heardAt{}; ///< zero: never
+        bool isListed = false; ///< the store names it
+        bool isLeaving = false;
+    };
+
+    explicit peer_roster(host_record self);
+
+    /// Records what the store says of a host. A host that the store no longer names stays known while
+    /// it is heard.
+    void apply(const record_change &change);
+
+    /// Takes every host that @p listing lacks as no longer named by the store.
+    void retain(const std::vector<record_change> &listing);
+
+    /// Notes a message from @p host. Returns false when it comes from an earlier life of it.
+    bool onHeard(const host_record &host, bool isLeaving, monotonic_time now);
+
+    /// Forgets hosts that neither the store names nor anything was heard of.
+    void advance(monotonic_time now);
+
+    bool isAlive(const peer &other, monotonic_time now) const;
+
+    /// Whether some host of @p zone can be heard. True for this host's own zone, and for zones that
+    /// no host was ever heard of.
+    bool isZoneReached(const std::string &zone, monotonic_time now) const;
+
+    /// Whether this host is the one among the live hosts, of @p zone if there are any, that
+    /// rendezvous hashing picks for @p key.
+    bool owns(std::uint64_t key, const std::string &zone, monotonic_time now) const;
+
+    /// Name of the owner in the sense of owns(); this host's own name when it is the owner.
+    const std::string &ownerOf(std::uint64_t key, const std::string &zone, monotonic_time now) const;
+
+    /// Number of live hosts that rendezvous hashing ranks before this one for @p key.
+    unsigned rankOf(std::uint64_t key, monotonic_time now) const;
+
+    const host_record &self() const { return m_self; }
+    const std::map<std::string, peer> &peers() const { return m_peers; }
+
+private:
+    host_record m_self;
+    std::map<std::string, peer> m_peers;
+};
+
+} // namespace figstair
--- a/include/figstair/core/state_chart.h
+++ b/include/figstair/core/state_chart.h
@@ -57,4 +57,7 @@
 /// The chart of a gate's belief about one upstream, parsed once from the shipped text.
 const state_chart &upstreamChart();
 
+/// The chart of a host's belief about one upstream on the platform's packet path.
+const state_chart &upstreamHealthChart();
+
 } // namespace figstair
--- /dev/null
+++ b/include/figstair/core/upstream_health.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <vector>
+
+#include "figstair/core/clock_source.h"
+#include "figstair/core/state_chart.h"
+#include "figstair/core/upstream_directory.h"
+
+namespace figstair {
+
+/// How freely new flows may go to an upstream.
+enum class placement_right : std::uint8_t {
+    free, ///< like any other
+    avoid, ///< only when no other can take the flow
+    trial, ///< one flow at a time, from the host that owns its trials
+    none
+};
+
+/// Judges upstreams by what callers' packets show: a handshake or request without an answer counts
+/// against an upstream, an acknowledgement for it. Answers the load pattern in which a dead upstream
+/// has no open requests and so attracts every new flow.
+class upstream_health
+{
+public:
+    upstream_health();
+
+    /// A caller acknowledged something new from the upstream.
+    void onAnswered(upstream_index upstream, monotonic_time now);
+
+    /// A flow got no answer in time.
+    void onSilence(upstream_index upstream, monotonic_time now);
+
+    /// Another host ejected the upstream. @p ownsTrials: it is on this host to try it.
+    void onReported(upstream_index upstream, bool ownsTrials, monotonic_time now);
+
+    /// The host that owns the trials of the upstream takes it for good.
+    void onCleared(upstream_index upstream, monotonic_time now);
+
+    /// Forgets what is known: the upstream started anew or its position names another one.
+    void reset(upstream_index upstream);
+
+    placement_right rightOf(upstream_index upstream, monotonic_time now);
+
+    /// A trial flow was sent; the next one waits for its outcome.
+    void onTrialSent(upstream_index upstream, monotonic_time now);
+
+    /// Whether this host has ejected the upstream.
+    bool isEjected(upstream_index upstream) const;
+
+    /// Name of the state, for logs.
+    std::string_view stateName(upstream_index upstream) const;
+
+private:
+    struct record
+    {
+        explicit record(const state_chart &chart)
+            : state(chart)
+        {
+        }
+
+        chart_position state;
+        placement_right right = placement_right::free;
+        bool isPlain = true; ///< in the state "good", which needs no time
+        monotonic_time stateEnds{};
+        monotonic_time stateSince{};
+        monotonic_time lastAnswer{};
+        monotonic_time nextTrial{};
+        milliseconds backoff{0};
+    };
+
+    record &at(upstream_index upstream);
+    void fire(record &item, const char *event, monotonic_time now);
+    void rest(record &item, monotonic_time now);
+
+    std::vector<record> m_records;
+};
+
+} // namespace figstair
--- /dev/null
+++ b/include/figstair/core/view_feed.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+#include "figstair/core/clock_source.h"
+
+namespace figstair {
+
+/// What to ask the store for next.
+struct feed_call
+{
+    enum class kind : std::uint8_t { none, list, watch };
+    kind what = kind::none;
+    std::uint64_t after = 0;
+    milliseconds wait{0};
+};
+
+/// Decides which hosts read the store, when, and how old this host's view of it is. One host, the one
+/// that rendezvous hashing ranks first, waits for changes and passes them on; any other reads by
+/// itself as soon as what it hears is too old, whoever is to blame.
+class view_feed
+{
+public:
+    explicit view_feed(std::uint64_t seed);
+
+    /// The call that is due at @p now, if any. @p rank: number of live hosts ranked before this one.
+    feed_call nextCall(monotonic_time now, unsigned rank);
+
+    void onListed(std::uint64_t revision, monotonic_time now);
+    void onWatched(std::uint64_t revision, monotonic_time now);
+    void onFailed(bool isHistoryGone, monotonic_time now);
+
+    /// Another host passes on what changed after @p after up to @p revision, in the store's word @p age
+    /// ago. Returns whether the changes fit and are to be applied.
+    bool onPassedOn(std::uint64_t after, std::uint64_t revision, milliseconds age,
+                    milliseconds grace, monotonic_time now);
+
+    /// Another host states its view's revision and age.
+    void onPeerView(std::uint64_t revision, milliseconds age, monotonic_time now);
+
+    /// Whether to ask another host now for changes that did not arrive.
+    bool takePull(monotonic_time now);
+
+    /// The store answered anew after failures: entries may be missing until this time has come.
+    monotonic_time graceUntil() const { return m_graceUntil; }
+
+    std::uint64_t revision() const { return m_revision; }
+    bool isLoaded() const { return m_isLoaded; }
+    milliseconds age(monotonic_time now) const;
+
+    /// When nextCall() or takePull() may have something new.
+    monotonic_time nextDeadline(monotonic_time now, unsigned rank) const;
+
+    bool isReachable() const { return m_failures == 0; }
+
+private:
+    milliseconds staleAfter(unsigned rank) const;
+    void confirm(std::uint64_t revision, monotonic_time asOf);
+    void onAnswered(monotonic_time now);
+
+    std::mt19937_64 m_random;
+    std::uint64_t m_revision = 0;
+    bool m_isLoaded = false;
+    bool m_needsListing = true;
+    bool m_isCalling = false;
+    monotonic_time m_calledAt{};
+    monotonic_time m_confirmedAt{};
+    monotonic_time m_notBefore{};
+    monotonic_time m_graceUntil{};
+    monotonic_time m_behindSince{};
+    monotonic_time m_lastPull{};
+    bool m_isBehind = false;
+    unsigned m_failures = 0;
+};
+
+} // namespace figstair
--- a/include/figstair/host/event_log.h
+++ b/include/figstair/host/event_log.h
@@ -7,10 +7,12 @@
 
 #include "figstair/core/clock_source.h"
 #include "figstair/core/host_output.h"
+#include "figstair/host/line_output.h"
 
 namespace figstair {
 
-/// Writes one line of key=value pairs per event through glog, at a bounded rate per event name.
+/// Writes one line of key=value pairs per event to standard output, through glog, at a bounded rate
+/// per event name. Never blocks.
 class event_log
 {
 public:
@@ -18,6 +20,12 @@
 
     void write(std::string_view name, event_fields fields);
 
+    /// Hands buffered lines to standard output. To be called several times a second.
+    void flush();
+
+    /// Lines that standard output did not take, since the last question.
+    std::uint64_t takeDropped() { return m_output.takeDropped(); }
+
 private:
     struct window
     {
@@ -27,6 +35,7 @@
     };
 
     std::string m_hostName;
+    line_output m_output;
     const clock_source &m_clock;
     std::map<std::string, window, std::less<>> m_windows;
 };
--- a/include/figstair/host/metrics.h
+++ b/include/figstair/host/metrics.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/histogram/axis/category.hpp>
@@ -10,20 +11,20 @@
 #include <boost/histogram/histogram.hpp>
 #include <boost/histogram/make_histogram.hpp>
 
+#include "figstair/core/entry_output.h"
 #include "figstair/core/host_output.h"
 
 namespace figstair {
 
-/// Counts and distributions of one host.
-class metrics
+/// Counts and distributions by number, with names for the text.
+class metric_store
 {
 public:
-    metrics();
+    metric_store(std::vector<std::string> counterNames, std::vector<std::string> distributionNames);
 
-    void count(counter which, std::uint64_t amount);
-    void observe(distribution which, milliseconds value);
-
-    std::uint64_t value(counter which) const;
+    void count(std::size_t which, std::uint64_t amount);
+    void observe(std::size_t which, milliseconds value);
+    std::uint64_t value(std::size_t which) const;
 
     /// Text in the format that Prometheus reads.
     std::string toPrometheus() const;
@@ -35,9 +36,46 @@
     using counter_histogram = decltype(boost::histogram::make_histogram(counter_axis({0})));
     using time_histogram = decltype(boost::histogram::make_histogram(time_axis(1, 1.0, 2.0)));
 
+    std::vector<std::string> m_counterNames;
+    std::vector<std::string> m_distributionNames;
     counter_histogram m_counters;
     std::vector<time_histogram> m_times;
-    std::array<double, static_cast<std::size_t>(distribution::count)> m_sums{};
+    std::vector<double> m_sums;
+};
+
+/// The names of all values of an enumeration that ends with "count".
+template <typename enumeration> std::vector<std::string> namesOf()
+{
+    std::vector<std::string> names;
+    for (std::size_t index = 0; index < static_cast<std::size_t>(enumeration::count); ++index) {
+        names.emplace_back(toText(static_cast<enumeration>(index)));
+    }
+    return names;
+}
+
+/// The metrics of one program: its counters and its distributions.
+template <typename counter_type, typename distribution_type> class typed_metrics
+{
+public:
+    void count(counter_type which, std::uint64_t amount)
+    {
+        m_store.count(static_cast<std::size_t>(which), amount);
+    }
+    void observe(distribution_type which, milliseconds value)
+    {
+        m_store.observe(static_cast<std::size_t>(which), value);
+    }
+    std::uint64_t value(counter_type which) const
+    {
+        return m_store.value(static_cast<std::size_t>(which));
+    }
+    std::string toPrometheus() const { return m_store.toPrometheus(); }
+
+private:
+    metric_store m_store{namesOf<counter_type>(), namesOf<distribution_type>()};
 };
 
+using metrics = typed_metrics<counter, distribution>;
+using entry_metrics = typed_metrics<entry_counter, entry_distribution>;
+
 } // namespace figstair
--- a/include/figstair/host/platform_watcher.h
+++ b/include/figstair/host/platform_watcher.h
@@ -9,7 +9,7 @@
 #include <thread>
 
 #include "figstair/core/table_keeper.h"
-#include "figstair/platform/key_value_store.h"
+#include "figstair/store/key_value_store.h"
 
 namespace figstair {
 
--- /dev/null
+++ b/include/figstair/host/store_session.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "figstair/core/entry_core.h"
+#include "figstair/core/view_feed.h"
+#include "figstair/store/fleet_store.h"
+#include "figstair/wire/entry_message.h"
+
+namespace figstair {
+
+/// Keeps this host's view of the store's records: carries out what view_feed decides, hands records to
+/// entry_core, passes them on to other hosts, and keeps this host announced.
+class store_session
+{
+public:
+    /// What the session needs from the process around it.
+    class environment
+    {
+    public:
+        virtual ~environment() = default;
+        virtual void sendToPeers(const entry_message &message) = 0;
+        virtual void sendToPeer(const endpoint &to, const entry_message &message) = 0;
+        virtual void adoptKey(const peer_key &key) = 0;
+        virtual void logEvent(std::string_view name, event_fields fields) = 0;
+        virtual void count(entry_counter which, std::uint64_t amount) = 0;
+    };
+
+    store_session(std::unique_ptr<fleet_store> store, entry_core &core, const clock_source &clock,
+                  const host_record &self, milliseconds announcementLife, std::uint64_t seed,
+                  environment &surroundings);
+
+    /// Starts calls that are due. To be called at nextDeadline() or earlier.
+    void tick();
+    monotonic_time nextDeadline() const;
+
+    void onPassedOn(const view_changes &changes);
+    void onPull(const view_pull &pull);
+    void onPeerReport(const peer_report &report);
+
+    /// Takes this host's announcement back.
+    void withdraw();
+
+    const view_feed &feed() const { return m_feed; }
+
+private:
+    struct kept_change
+    {
+        std::uint64_t after = 0;
+        std::uint64_t revision = 0;
+        std::vector<record_change> records;
+    };
+
+    unsigned rank() const;
+    void startCall(const feed_call &call);
+    void onListed(store_reply<store_records> reply);
+    void onWatched(std::uint64_t after, store_reply<store_records> reply);
+    void noteFailure(const char *call, const store_error &error);
+    void noteSuccess();
+    void take(const std::vector<record_change> &records);
+    void keep(std::uint64_t after, std::uint64_t revision,
+              const std::vector<record_change> &records);
+    void offerKeyIfMissing(const std::vector<record_change> &listing);
+    void continueAnnouncing();
+    void onAnnouncementFailed(const char *call, const store_error &error);
+
+    std::unique_ptr<fleet_store> m_store;
+    entry_core &m_core;
+    const clock_source &m_clock;
+    host_record m_self;
+    milliseconds m_announcementLife;
+    environment &m_environment;
+    view_feed m_feed;
+    std::mt19937_64 m_random;
+    std::deque<kept_change> m_history;
+    std::uint64_t m_lease = 0;
+    bool m_isAnnounced = false;
+    bool m_isAnnouncing = false;
+    bool m_isWithdrawn = false;
+    bool m_wasReachable = true;
+    monotonic_time m_nextAnnouncement{};
+};
+
+} // namespace figstair
--- a/include/figstair/platform/etcd_gateway_store.h
+++ b/include/figstair/store/etcd_gateway_store.h
@@ -4,7 +4,7 @@
 
 #include "figstair/core/clock_source.h"
 #include "figstair/core/endpoint.h"
-#include "figstair/platform/key_value_store.h"
+#include "figstair/store/key_value_store.h"
 
 namespace figstair {
 
--- /dev/null
+++ b/include/figstair/wire/entry_message.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <boost/leaf/result.hpp>
+
+#include "figstair/core/fleet_records.h"
+#include "figstair/core/load_board.h"
+#include "figstair/wire/datagram.h"
+
+namespace figstair {
+
+/// What one host tells the others several times a second.
+struct peer_report
+{
+    host_record sender;
+    std::uint64_t sequence = 0;
+    bool isLeaving = false;
+    std::uint64_t viewRevision = 0; ///< revision of the store that the sender's view has reached
+    milliseconds viewAge{0}; ///< time since the store confirmed that view
+    std::uint64_t configVersion = 0;
+    std::vector<load_row> rows;
+};
+
+/// Changes of the store's records that one host passes on to others.
+struct view_changes
+{
+    std::uint64_t after = 0; ///< the changes follow this revision without a gap
+    std::uint64_t revision = 0; ///< the last one of them
+    milliseconds age{0}; ///< time since the store gave its word
+    milliseconds grace{0}; ///< for how long missing entries may still come back
+    std::vector<record_change> records;
+};
+
+/// Asks for the changes after a revision.
+struct view_pull
+{
+    std::uint64_t after = 0;
+    endpoint replyTo;
+};
+
+using entry_message = std::variant<peer_report, view_changes, view_pull>;
+
+/// Reports bytes that are no message between hosts, or not from one that has the shared key.
+struct entry_message_error
+{
+    std::string problem;
+};
+
+/// Greatest size of an encoded message between hosts, in bytes.
+constexpr std::size_t mostEntryMessageBytes = 49152;
+
+/// CBOR, followed by an authentication code.
+byte_buffer encodeEntryMessage(const peer_key &key, const entry_message &message);
+
+/// Fails with entry_message_error.
+boost::leaf::result<entry_message> decodeEntryMessage(const peer_key &key, byte_view bytes);
+
+} // namespace figstair
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -13,6 +13,7 @@
 
 Usage:
   figstair host FILE.ini [--check-settings]   run one host
+  figstair entry [FILE.ini]                   run one host on the platform
   figstair table check FILE.csv               check a sheet
   figstair table diff|apply|show|history ...  work with the table on the platform
   figstair table rotate-key ...               add a key for flow tokens
@@ -27,6 +28,9 @@
     if (command == "host") {
         return figstair::runHost(words);
     }
+    if (command == "entry") {
+        return figstair::runEntry(words);
+    }
     if (command == "table") {
         return figstair::runTable(words);
     }
--- a/src/cli/status_command.cpp
+++ b/src/cli/status_command.cpp
@@ -10,7 +10,7 @@
 #include "command_options.h"
 #include "figstair/cli/commands.h"
 #include "figstair/host/system_clock_source.h"
-#include "figstair/platform/http_client.h"
+#include "figstair/store/http_client.h"
 
 namespace leaf = boost::leaf;
 namespace po = boost::program_options;
--- a/src/cli/table_command.cpp
+++ b/src/cli/table_command.cpp
@@ -12,8 +12,8 @@
 #include "figstair/core/flow_token.h"
 #include "figstair/host/process_settings.h"
 #include "figstair/host/system_clock_source.h"
-#include "figstair/platform/etcd_gateway_store.h"
-#include "figstair/platform/table_store.h"
+#include "figstair/store/etcd_gateway_store.h"
+#include "figstair/store/table_store.h"
 #include "figstair/table/change_planner.h"
 #include "figstair/table/sheet.h"
 
--- /dev/null
+++ b/src/core/entry_core.cpp
@@ -0,0 +1,664 @@
+#include "figstair/core/entry_core.h"
+
+#include <algorithm>
+
+#include <boost/asio/ip/address_v4.hpp>
+
+namespace figstair {
+namespace {
+
+/// How long a new flow is held for room at an upstream: less than the time after which callers send
+/// the next copy of the opening packet (200 ms), so that a copy never meets its held twin.
+constexpr milliseconds longestHold{150};
+
+/// Share of a route's time aim that a flow may spend held.
+constexpr double holdShareOfAim = 0.4;
+
+/// Flows held for each priority: one second's arrivals at a host under the greatest load expected.
+constexpr std::size_t heldCapacity = 256;
+
+/// Share of a route's time aim that a request may spend at an upstream, waiting included.
+constexpr double upstreamShareOfAim = 0.75;
+constexpr double leastQueueFactor = 1.25;
+constexpr double mostQueueFactor = 3.0;
+constexpr milliseconds defaultAim{250};
+
+/// A request without any packet for this long no longer counts as work of its upstream.
+constexpr milliseconds idleRequestTime{4000};
+
+/// Closed flows stay for late packets of both ends.
+constexpr milliseconds closedFlowTime{3000};
+
+/// Flows looked at by one sweep, and the distance of sweeps.
+constexpr std::size_t flowsPerSweep = 64;
+constexpr milliseconds sweepInterval{100};
+
+/// Data sent again sooner than this is a doubled packet, not a retransmission.
+constexpr milliseconds leastRetransmission{100};
+
+/// Silence within this time after a freeze, or after a change of the hosts that receive packets, says
+/// nothing of upstreams: answers went by while nobody counted, or another host saw them.
+constexpr milliseconds silenceGraceAfterFreeze{400};
+
+/// Reports to other hosts. The interval bounds how old the load is that a placement goes by; the
+/// spacing bounds the cost at a host to 100 messages a second each way.
+constexpr milliseconds leastReportInterval{100};
+constexpr milliseconds reportSpacing{10};
+constexpr std::size_t mostReportTargets = 32;
+constexpr std::size_t otherZoneTargets = 4;
+
+/// Slowness beyond which a sample is logged.
+constexpr double noteworthyRatio = 4.0;
+
+std::string toText(milliseconds value)
+{
+    return std::to_string(value.count());
+}
+
+std::string hexText(std::uint64_t value)
+{
+    std::string text;
+    for (int shift = 60; shift >= 0; shift -= 4) {
+        text += "0123456789abcdef"[value >> static_cast<unsigned>(shift) & 15U];
+    }
+    return text;
+}
+
+std::string addressText(std::uint32_t address, std::uint16_t port)
+{
+    return boost::asio::ip::make_address_v4(address).to_string() + ":" + std::to_string(port);
+}
+
+} // namespace
+
+std::string toText(const flow_id &flow)
+{
+    return addressText(flow.callerAddress, flow.callerPort) + ">"
+        + addressText(flow.routeAddress, flow.routePort);
+}
+
+entry_core::entry_core(const entry_settings &settings, const clock_source &clock,
+                       std::uint64_t seed, entry_output &output)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_output(output)
+    , m_directory(settings.flowLife)
+    , m_loads(m_directory)
+    , m_roster(settings.self)
+    , m_placer(m_directory, m_loads, m_health, m_roster, seed)
+    , m_flows(settings.maxFlows)
+    , m_held(heldCapacity)
+{
+}
+
+void entry_core::updateSettings(const entry_settings &settings)
+{
+    m_settings = settings;
+}
+
+flow_record &entry_core::remember(const flow_id &flow)
+{
+    return m_flows.insert(flow, [this](flow_record &forgotten) { settle(forgotten); });
+}
+
+void entry_core::settle(flow_record &record)
+{
+    if (record.awaitsAnswer) {
+        record.awaitsAnswer = false;
+        m_loads.removeOpen(record.upstream);
+    }
+}
+
+unsigned entry_core::coldPerSecond(const std::string &service) const
+{
+    const service_limits limits = m_routes.limitsOf(service);
+    const double bearable
+        = limits.coldRequestsPerSecond * m_settings.coldOvershoot + m_settings.coldSlack;
+    // Half, so that two hosts that both take themselves for the owner stay within it together.
+    return static_cast<unsigned>(std::max(0.0, bearable / 2));
+}
+
+void entry_core::onPacket(const flow_packet &packet, byte_view bytes)
+{
+    m_lastPacketAt = m_clock.monotonic();
+    m_output.count(entry_counter::packetsReceived, 1);
+    if (packet.opens && packet.acknowledges) {
+        // Only upstreams send these; one that comes from a caller's side is forged or reflected.
+        m_output.count(entry_counter::packetsReflected, 1);
+        return;
+    }
+    if (packet.opens) {
+        onOpening(packet, bytes);
+    } else {
+        onLater(packet, bytes);
+    }
+}
+
+void entry_core::onOpening(const flow_packet &packet, byte_view bytes)
+{
+    if (!m_routes.isLoaded()) {
+        m_output.count(entry_counter::packetsBeforeConfig, 1);
+        return;
+    }
+    const route *route = m_routes.find(packet.flow);
+    if (route == nullptr) {
+        m_output.count(entry_counter::packetsWithoutRoute, 1);
+        m_output.count(entry_counter::flowsReset, 1);
+        m_output.logEvent("flow_refused",
+                          {{"flow", toText(packet.flow)},
+                           {"reason", "no_route"},
+                           {"config", std::to_string(configVersion())}});
+        m_output.reset(packet.flow, packet.acknowledged);
+        return;
+    }
+    const monotonic_time now = m_clock.monotonic();
+    flow_record *known = m_flows.find(packet.flow);
+    if (known != nullptr && known->openingSequence != packet.sequence) {
+        settle(*known);
+        m_flows.erase(packet.flow);
+        known = nullptr;
+    }
+    if (known != nullptr && known->phase != flow_phase::opening) {
+        return; // held here already, or a late copy for a flow that is open
+    }
+    flow_record &record = remember(packet.flow);
+    record.openingSequence = packet.sequence;
+    record.lastPacketAt = now;
+    if (known != nullptr) {
+        // The caller repeats its opening packet: nothing it acknowledges has come back.
+        settle(record);
+        record.earlier = record.upstream;
+    }
+    place(packet.flow, *route, bytes, true);
+}
+
+void entry_core::place(const flow_id &flow, const route &route, byte_view bytes, bool mayHold)
+{
+    const monotonic_time now = m_clock.monotonic();
+    flow_record &record = remember(flow);
+    const std::string &service = m_routes.serviceFor(route, flow);
+    const milliseconds aim = route.aim.count() > 0 ? route.aim : defaultAim;
+    const double expected = std::max(1.0, double(m_times.expected(flow).count()));
+    const double queueFactor
+        = std::clamp(double(aim.count()) * upstreamShareOfAim / expected, leastQueueFactor,
+                     mostQueueFactor);
+    const placement_result choice = m_placer.choose(
+        placement_request{service, coldPerSecond(service), queueFactor, record.earlier}, now);
+    if (choice.outcome == placement_outcome::placed) {
+        sendOpening(flow, record, bytes, choice);
+        return;
+    }
+    if (choice.outcome == placement_outcome::saturated && mayHold) {
+        const milliseconds hold
+            = std::min(longestHold,
+                       milliseconds(static_cast<std::int64_t>(double(aim.count()) * holdShareOfAim)));
+        record.phase = flow_phase::waiting;
+        const auto dropped = m_held.push(
+            route.priority, held_flow{flow, {bytes.begin(), bytes.end()}, now, now + hold});
+        m_output.count(entry_counter::flowsHeld, 1);
+        if (dropped) {
+            m_flows.erase(dropped->flow);
+            m_output.count(entry_counter::flowsDropped, 1);
+            m_output.logEvent("flow_dropped", {{"flow", toText(dropped->flow)},
+                                               {"reason", "too_many_held"},
+                                               {"held", std::to_string(m_held.size())}});
+        }
+        return;
+    }
+    m_flows.erase(flow);
+    if (choice.outcome == placement_outcome::noneUsable) {
+        m_output.count(entry_counter::flowsReset, 1);
+        m_output.logEvent("flow_refused", {{"flow", toText(flow)},
+                                           {"reason", std::string(choice.reason)},
+                                           {"service", service},
+                                           {"config", std::to_string(configVersion())}});
+        m_output.reset(flow, 0);
+    } else {
+        m_output.count(entry_counter::flowsDropped, 1);
+    }
+}
+
+void entry_core::sendOpening(const flow_id &flow, flow_record &record, byte_view bytes,
+                             const placement_result &choice)
+{
+    const monotonic_time now = m_clock.monotonic();
+    const known_upstream &upstream = m_directory.at(choice.upstream);
+    const unsigned open = m_loads.open(choice.upstream);
+    record.phase = flow_phase::opening;
+    record.upstream = choice.upstream;
+    record.openedAt = now;
+    record.requestAt = now;
+    record.lastPacketAt = now;
+    record.awaitsAnswer = true;
+    record.expectedFill
+        = std::max(1.0F, static_cast<float>(open + 1) / static_cast<float>(upstream.entry.slots));
+    m_loads.addOpen(choice.upstream);
+    m_pending.push_back(pending_answer{
+        now + m_times.handshakeTimeout(), flow, now, {bytes.begin(), bytes.end()}});
+    m_output.count(entry_counter::flowsPlaced, 1);
+    if (choice.reason != "least_load") {
+        m_output.count(choice.reason == "trial" ? entry_counter::trialsSent
+                                                : entry_counter::coldFlowsSent,
+                       1);
+    }
+    m_output.logEvent("flow_placed",
+                      {{"flow", toText(flow)},
+                       {"upstream", hexText(upstream.entry.id)},
+                       {"zone", upstream.entry.zone},
+                       {"reason", std::string(choice.reason)},
+                       {"open", std::to_string(open)},
+                       {"own_open", std::to_string(m_loads.ownOpen(choice.upstream))},
+                       {"entry_revision", std::to_string(upstream.revision)},
+                       {"config", std::to_string(configVersion())}});
+    m_output.forward(bytes, upstream);
+}
+
+void entry_core::onLater(const flow_packet &packet, byte_view bytes)
+{
+    const monotonic_time now = m_clock.monotonic();
+    if (m_routes.isLoaded() && m_routes.find(packet.flow) == nullptr) {
+        m_output.count(entry_counter::packetsWithoutRoute, 1);
+        m_output.count(entry_counter::flowsReset, 1);
+        if (flow_record *record = m_flows.find(packet.flow)) {
+            settle(*record);
+            m_flows.erase(packet.flow);
+        }
+        if (!packet.aborts) {
+            m_output.reset(packet.flow, packet.acknowledged);
+        }
+        return;
+    }
+    flow_record *record = m_flows.find(packet.flow);
+    const upstream_index named = m_directory.findTag(packet.upstreamTag);
+    if (record == nullptr || record->phase == flow_phase::waiting) {
+        if (named == noUpstream) {
+            m_output.count(entry_counter::packetsWithUnknownTag, 1);
+            m_output.logEvent("packet_dropped", {{"flow", toText(packet.flow)},
+                                                 {"reason", "unknown_tag"},
+                                                 {"tag", hexText(packet.upstreamTag)}});
+            return;
+        }
+        record = &remember(packet.flow);
+        adopt(packet, *record, named);
+    } else if (record->phase == flow_phase::opening) {
+        if (named != noUpstream && named != record->upstream) {
+            // The first upstream answered after all; the caller opened the flow there.
+            settle(*record);
+            record->upstream = named;
+            record->awaitsAnswer = true;
+            m_loads.addOpen(named);
+        }
+        record->phase = flow_phase::open;
+        record->acknowledgedAtRequest = packet.acknowledged;
+        m_health.onAnswered(record->upstream, now);
+        if (!record->wasRepeated) {
+            m_times.onHandshake(now - record->openedAt);
+            m_output.observe(entry_distribution::handshake, now - record->openedAt);
+        }
+    }
+    noteAnswer(packet, *record);
+    noteRequest(packet, *record);
+    record->lastPacketAt = now;
+    m_output.count(entry_counter::packetsForwarded, 1);
+    m_output.forward(bytes, m_directory.at(record->upstream));
+    if (packet.ends || packet.aborts) {
+        settle(*record);
+        record->phase = flow_phase::closed;
+    }
+    if (!m_held.isEmpty()) {
+        releaseHeld();
+    }
+}
+
+void entry_core::adopt(const flow_packet &packet, flow_record &record, upstream_index upstream)
+{
+    const monotonic_time now = m_clock.monotonic();
+    record = flow_record{};
+    record.phase = flow_phase::open;
+    record.upstream = upstream;
+    record.acknowledgedAtRequest = packet.acknowledged;
+    record.openedAt = now;
+    record.requestAt = now;
+    record.openingSequence = packet.sequence - 1;
+    if (!packet.ends && !packet.aborts) {
+        record.awaitsAnswer = true;
+        m_loads.addOpen(upstream);
+    }
+    m_output.count(entry_counter::flowsAdopted, 1);
+}
+
+void entry_core::noteAnswer(const flow_packet &packet, flow_record &record)
+{
+    if (!packet.acknowledges || !record.awaitsAnswer || !record.hasSentData
+        || packet.acknowledged == record.acknowledgedAtRequest) {
+        return;
+    }
+    const monotonic_time now = m_clock.monotonic();
+    const milliseconds time = now - record.requestAt;
+    m_health.onAnswered(record.upstream, now);
+    const double ratio = m_times.onAnswer(packet.flow, time, record.expectedFill);
+    m_loads.onServed(record.upstream, ratio, now);
+    m_output.observe(entry_distribution::firstAnswer, time);
+    if (ratio >= noteworthyRatio) {
+        m_output.logEvent("answer_slow", {{"flow", toText(packet.flow)},
+                                          {"upstream", hexText(m_directory.at(record.upstream).entry.id)},
+                                          {"ms", toText(time)},
+                                          {"expected_ms", toText(m_times.expected(packet.flow))}});
+    }
+    settle(record);
+}
+
+void entry_core::noteRequest(const flow_packet &packet, flow_record &record)
+{
+    if (packet.payloadBytes == 0) {
+        return;
+    }
+    const monotonic_time now = m_clock.monotonic();
+    if (record.hasSentData && record.awaitsAnswer && packet.sequence == record.lastDataSequence
+        && now - record.requestAt >= leastRetransmission && now >= m_ignoreSilenceUntil) {
+        judgeSilence(record.upstream, packet.flow, "request_repeated");
+        return;
+    }
+    if (record.hasSentData && packet.sequence == record.lastDataSequence) {
+        return;
+    }
+    record.hasSentData = true;
+    record.lastDataSequence = packet.sequence;
+    record.acknowledgedAtRequest = packet.acknowledged;
+    record.requestAt = now;
+    if (!record.awaitsAnswer && record.phase == flow_phase::open) {
+        record.awaitsAnswer = true;
+        m_loads.addOpen(record.upstream);
+    }
+}
+
+void entry_core::judgeSilence(upstream_index upstream, const flow_id &flow, std::string_view what)
+{
+    const bool wasEjected = m_health.isEjected(upstream);
+    m_health.onSilence(upstream, m_clock.monotonic());
+    const bool isEjected = m_health.isEjected(upstream);
+    m_output.logEvent("upstream_silent", {{"flow", toText(flow)},
+                                          {"upstream", hexText(m_directory.at(upstream).entry.id)},
+                                          {"evidence", std::string(what)},
+                                          {"state", std::string(m_health.stateName(upstream))}});
+    if (isEjected && !wasEjected) {
+        m_output.count(entry_counter::ejections, 1);
+    }
+}
+
+void entry_core::repeatUnanswered(const pending_answer &pending)
+{
+    flow_record *record = m_flows.find(pending.flow);
+    const monotonic_time now = m_clock.monotonic();
+    if (record == nullptr || record->phase != flow_phase::opening
+        || record->openedAt != pending.sentAt) {
+        return;
+    }
+    if (now < m_ignoreSilenceUntil) {
+        return;
+    }
+    judgeSilence(record->upstream, pending.flow, "opening_unanswered");
+    const route *route = m_routes.find(pending.flow);
+    if (record->wasRepeated || route == nullptr) {
+        return; // the caller's own copies go on
+    }
+    settle(*record);
+    record->wasRepeated = true;
+    record->earlier = record->upstream;
+    m_output.count(entry_counter::flowsRepeated, 1);
+    place(pending.flow, *route, pending.opening, false);
+}
+
+void entry_core::releaseHeld()
+{
+    const monotonic_time now = m_clock.monotonic();
+    std::vector<held_flow> late;
+    while (std::optional<held_flow> next = m_held.pop(now, late)) {
+        const route *route = m_routes.find(next->flow);
+        if (route == nullptr) {
+            m_flows.erase(next->flow);
+            m_output.reset(next->flow, 0);
+            continue;
+        }
+        place(next->flow, *route, next->packet, false);
+        const flow_record *record = m_flows.find(next->flow);
+        if (record == nullptr) {
+            break;
+        }
+        m_output.observe(entry_distribution::held, now - next->since);
+    }
+    for (const held_flow &item : late) {
+        m_flows.erase(item.flow);
+        m_output.count(entry_counter::flowsHeldTooLong, 1);
+    }
+}
+
+void entry_core::tick()
+{
+    const monotonic_time now = m_clock.monotonic();
+    while (!m_pending.empty() && m_pending.front().due <= now) {
+        const pending_answer pending = std::move(m_pending.front());
+        m_pending.pop_front();
+        repeatUnanswered(pending);
+    }
+    if (!m_held.isEmpty()) {
+        releaseHeld();
+    }
+    if (now >= m_nextSweep) {
+        m_nextSweep = now + sweepInterval;
+        sweepFlows();
+        m_directory.advance(now);
+        m_roster.advance(now);
+        for (const auto &[name, peer] : m_roster.peers()) {
+            if (!m_roster.isAlive(peer, now)) {
+                m_loads.dropReport(name);
+            }
+        }
+    }
+}
+
+void entry_core::sweepFlows()
+{
+    const monotonic_time now = m_clock.monotonic();
+    m_flows.sweep(flowsPerSweep, [&](const flow_id &, flow_record &record) {
+        const milliseconds idle = now - record.lastPacketAt;
+        if (record.phase != flow_phase::waiting && idle > idleRequestTime) {
+            settle(record);
+        }
+        if (record.phase == flow_phase::closed || record.phase == flow_phase::opening) {
+            if (idle > closedFlowTime) {
+                settle(record);
+                return true;
+            }
+            return false;
+        }
+        if (idle > m_settings.flowLife) {
+            settle(record);
+            return true;
+        }
+        return false;
+    });
+}
+
+monotonic_time entry_core::nextDeadline() const
+{
+    monotonic_time next = m_nextSweep;
+    if (!m_pending.empty()) {
+        next = std::min(next, m_pending.front().due);
+    }
+    return next;
+}
+
+void entry_core::onFreeze()
+{
+    m_output.count(entry_counter::freezes, 1);
+    m_ignoreSilenceUntil = m_clock.monotonic() + silenceGraceAfterFreeze;
+}
+
+void entry_core::onChange(const record_change &change)
+{
+    const monotonic_time now = m_clock.monotonic();
+    if (const auto *bad = std::get_if<record_change::unreadable>(&change.content)) {
+        m_output.count(entry_counter::unreadableRecords, 1);
+        m_output.logEvent("record_unreadable", {{"name", change.name},
+                                                {"upstream", hexText(change.upstreamId)},
+                                                {"revision", std::to_string(change.revision)},
+                                                {"problem", bad->problem}});
+    }
+    if (const auto *config = std::get_if<route_config>(&change.content)) {
+        const std::uint64_t before = configVersion();
+        if (m_routes.accept(*config)) {
+            m_output.count(entry_counter::configsAccepted, 1);
+            m_output.logEvent("config_accepted",
+                              {{"config", std::to_string(config->version)},
+                               {"before", std::to_string(before)},
+                               {"revision", std::to_string(change.revision)},
+                               {"routes", std::to_string(config->routes.size())}});
+        }
+        return;
+    }
+    if (change.kind == record_kind::host) {
+        m_roster.apply(change);
+        return;
+    }
+    if (const auto *entry = std::get_if<upstream_record>(&change.content)) {
+        const upstream_index before = m_directory.findTag(upstreamTag(entry->id));
+        const bool isNewLife = before == noUpstream
+            || m_directory.at(before).entry.bornMs != entry->bornMs;
+        m_directory.apply(change, now, milliseconds::zero());
+        const upstream_index index = m_directory.findTag(upstreamTag(entry->id));
+        if (isNewLife && index != noUpstream) {
+            m_loads.reset(index);
+            m_health.reset(index);
+        }
+        m_output.logEvent("upstream_entry", {{"upstream", hexText(entry->id)},
+                                             {"zone", entry->zone},
+                                             {"service", entry->service},
+                                             {"draining", entry->isDraining ? "1" : "0"},
+                                             {"cold_ms", toText(entry->coldFor)},
+                                             {"new_life", isNewLife ? "1" : "0"},
+                                             {"revision", std::to_string(change.revision)}});
+        return;
+    }
+    m_directory.apply(change, now, m_settings.heartbeat * 2);
+    if (change.kind == record_kind::evacuation || change.kind == record_kind::upstream) {
+        const bool isRemoved = std::holds_alternative<record_change::removed>(change.content);
+        m_output.logEvent(change.kind == record_kind::evacuation ? "evacuation" : "upstream_gone",
+                          {{"zone", change.name},
+                           {"upstream", hexText(change.upstreamId)},
+                           {"removed", isRemoved ? "1" : "0"},
+                           {"revision", std::to_string(change.revision)}});
+    }
+}
+
+void entry_core::onListing(const std::vector<record_change> &listing, std::uint64_t revision)
+{
+    for (const record_change &change : listing) {
+        onChange(change);
+    }
+    m_directory.retain(listing, revision, m_clock.monotonic());
+    m_roster.retain(listing);
+}
+
+void entry_core::onPeerReport(const peer_report &report)
+{
+    const monotonic_time now = m_clock.monotonic();
+    m_output.count(entry_counter::peerMessagesReceived, 1);
+    if (!m_roster.onHeard(report.sender, report.isLeaving, now)) {
+        return;
+    }
+    m_loads.setReport(report.sender.name, report.rows, now);
+    std::size_t ejected = 0;
+    for (const load_row &row : report.rows) {
+        ejected += row.isEjected ? 1 : 0;
+    }
+    // A host that ejects most upstreams is more likely cut off itself.
+    const bool isCredible = ejected * 2 <= m_directory.size();
+    for (const load_row &row : report.rows) {
+        const upstream_index upstream = m_directory.findTag(row.tag);
+        if (upstream == noUpstream || !row.isEjected || !isCredible) {
+            continue;
+        }
+        const known_upstream &known = m_directory.at(upstream);
+        m_health.onReported(upstream, m_roster.owns(known.entry.id, known.entry.zone, now), now);
+    }
+    for (upstream_index index = 0; index < m_directory.size(); ++index) {
+        if (!m_health.isEjected(index)) {
+            continue;
+        }
+        const known_upstream &known = m_directory.at(index);
+        const bool isNamed = std::any_of(
+            report.rows.begin(), report.rows.end(),
+            [&](const load_row &row) { return row.tag == known.tag && row.isEjected; });
+        if (!isNamed
+            && m_roster.ownerOf(known.entry.id, known.entry.zone, now) == report.sender.name) {
+            m_health.onCleared(index, now);
+        }
+    }
+}
+
+void entry_core::leave()
+{
+    m_isLeaving = true;
+}
+
+milliseconds entry_core::reportInterval() const
+{
+    const auto targets = static_cast<std::int64_t>(
+        std::min(m_roster.peers().size(), mostReportTargets));
+    return std::max(leastReportInterval, milliseconds(targets * reportSpacing.count()));
+}
+
+std::vector<endpoint> entry_core::reportTargets()
+{
+    std::vector<endpoint> local;
+    std::vector<endpoint> others;
+    for (const auto &[name, peer] : m_roster.peers()) {
+        const bool isLocal = peer.entry.zone == m_settings.self.zone;
+        (isLocal ? local : others).push_back(peer.entry.peerAddress);
+    }
+    const std::size_t all = local.size() + others.size();
+    if (all <= mostReportTargets) {
+        local.insert(local.end(), others.begin(), others.end());
+        return local;
+    }
+    // A larger fleet: the whole zone as far as it fits, and a turn of the others.
+    if (local.size() > mostReportTargets) {
+        std::rotate(local.begin(),
+                    local.begin() + std::ptrdiff_t(m_reportSequence * mostReportTargets % local.size()),
+                    local.end());
+        local.resize(mostReportTargets);
+    }
+    for (std::size_t step = 0; step < std::min(otherZoneTargets, others.size()); ++step) {
+        local.push_back(others[(m_reportSequence * otherZoneTargets + step) % others.size()]);
+    }
+    return local;
+}
+
+peer_report entry_core::makeReport()
+{
+    peer_report report;
+    report.sender = m_roster.self();
+    report.sequence = ++m_reportSequence;
+    report.isLeaving = m_isLeaving;
+    report.configVersion = configVersion();
+    report.rows = m_loads.ownRows(m_clock.monotonic());
+    for (load_row &row : report.rows) {
+        const upstream_index upstream = m_directory.findTag(row.tag);
+        row.isEjected = upstream != noUpstream && m_health.isEjected(upstream);
+    }
+    for (upstream_index index = 0; index < m_directory.size(); ++index) {
+        if (!m_health.isEjected(index)) {
+            continue;
+        }
+        const std::uint32_t tag = m_directory.at(index).tag;
+        const bool isNamed = std::any_of(report.rows.begin(), report.rows.end(),
+                                         [&](const load_row &row) { return row.tag == tag; });
+        if (!isNamed) {
+            report.rows.push_back(load_row{tag, 0, 0, true});
+        }
+    }
+    return report;
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/core/entry_output.cpp
@@ -0,0 +1,51 @@
+#include "figstair/core/entry_output.h"
+
+#include <array>
+
+namespace figstair {
+namespace {
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(entry_counter::count)> counterNames{
+    "packets_received",
+    "packets_malformed",
+    "packets_reflected",
+    "packets_without_route",
+    "packets_with_unknown_tag",
+    "packets_before_config",
+    "packets_forwarded",
+    "flows_placed",
+    "flows_repeated",
+    "flows_adopted",
+    "flows_held",
+    "flows_held_too_long",
+    "flows_reset",
+    "flows_dropped",
+    "trials_sent",
+    "cold_flows_sent",
+    "ejections",
+    "freezes",
+    "peer_messages_received",
+    "peer_messages_rejected",
+    "configs_accepted",
+    "unreadable_records",
+    "store_calls",
+    "store_failures",
+    "log_lines_dropped",
+};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(entry_distribution::count)>
+    distributionNames{"handshake_ms", "first_answer_ms", "held_ms"};
+
+} // namespace
+
+std::string_view toText(entry_counter which)
+{
+    return counterNames.at(static_cast<std::size_t>(which));
+}
+
+std::string_view toText(entry_distribution which)
+{
+    return distributionNames.at(static_cast<std::size_t>(which));
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/core/route_table.cpp
@@ -0,0 +1,65 @@
+#include "figstair/core/route_table.h"
+
+#include <algorithm>
+
+namespace figstair {
+namespace {
+
+std::uint64_t addressKey(std::uint32_t address, std::uint16_t port)
+{
+    return std::uint64_t{address} << 16U | port;
+}
+
+} // namespace
+
+bool route_table::accept(const route_config &config)
+{
+    if (m_isLoaded && config.version <= m_config.version) {
+        return false;
+    }
+    m_config = config;
+    m_isLoaded = true;
+    m_byAddress.clear();
+    m_byAddress.reserve(m_config.routes.size());
+    for (std::size_t index = 0; index < m_config.routes.size(); ++index) {
+        const route &entry = m_config.routes[index];
+        m_byAddress.emplace(addressKey(entry.address, entry.port), index);
+    }
+    return true;
+}
+
+const route *route_table::find(const flow_id &flow) const
+{
+    const auto found = m_byAddress.find(addressKey(flow.routeAddress, flow.routePort));
+    return found == m_byAddress.end() ? nullptr : &m_config.routes[found->second];
+}
+
+const std::string &route_table::serviceFor(const route &route, const flow_id &flow) const
+{
+    static const std::string none;
+    std::uint64_t total = 0;
+    for (const weighted_service &choice : route.services) {
+        total += choice.weight;
+    }
+    if (total == 0) {
+        return none;
+    }
+    std::uint64_t point = hashOf(flow) % total;
+    for (const weighted_service &choice : route.services) {
+        if (point < choice.weight) {
+            return choice.service;
+        }
+        point -= choice.weight;
+    }
+    return none;
+}
+
+service_limits route_table::limitsOf(const std::string &service) const
+{
+    const auto found
+        = std::find_if(m_config.services.begin(), m_config.services.end(),
+                       [&](const service_limits &limits) { return limits.name == service; });
+    return found == m_config.services.end() ? service_limits{} : *found;
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/core/service_times.cpp
@@ -0,0 +1,61 @@
+#include "figstair/core/service_times.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figstair {
+namespace {
+
+constexpr double meanWeight = 0.03;
+constexpr double handshakeWeight = 0.05;
+
+/// Assumed until something was measured: a common time of a small request.
+constexpr double firstGuessMs = 60.0;
+
+/// One sample moves the mean by at most this factor: an upstream that turned slow must not make its
+/// time the expected one.
+constexpr double mostOverMean = 3.0;
+
+/// Handshakes vary by the way of the caller and by waiting in processes; a retry before this would
+/// double flows that are only late.
+constexpr double timeoutOverMean = 3.0;
+constexpr double timeoutBaseMs = 15.0;
+constexpr double leastTimeoutMs = 30.0;
+constexpr double mostTimeoutMs = 120.0;
+
+std::uint64_t routeKey(const flow_id &flow)
+{
+    return std::uint64_t{flow.routeAddress} << 16U | flow.routePort;
+}
+
+} // namespace
+
+double service_times::onAnswer(const flow_id &flow, milliseconds time, double fill)
+{
+    const auto [slot, isNew] = m_meanMs.try_emplace(routeKey(flow), firstGuessMs);
+    const double sample = static_cast<double>(time.count()) / std::max(1.0, fill);
+    const double ratio = sample / std::max(1.0, slot->second);
+    slot->second += meanWeight * (std::min(sample, slot->second * mostOverMean) - slot->second);
+    return ratio;
+}
+
+void service_times::onHandshake(milliseconds time)
+{
+    const auto sample = static_cast<double>(time.count());
+    m_handshakeMs = m_handshakeMs == 0 ? sample
+                                       : m_handshakeMs + handshakeWeight * (sample - m_handshakeMs);
+}
+
+milliseconds service_times::expected(const flow_id &flow) const
+{
+    const auto found = m_meanMs.find(routeKey(flow));
+    return milliseconds(std::llround(found == m_meanMs.end() ? firstGuessMs : found->second));
+}
+
+milliseconds service_times::handshakeTimeout() const
+{
+    const double wanted = timeoutBaseMs + timeoutOverMean * m_handshakeMs;
+    return milliseconds(std::llround(std::clamp(wanted, leastTimeoutMs, mostTimeoutMs)));
+}
+
+} // namespace figstair
--- a/src/core/state_chart.cpp
+++ b/src/core/state_chart.cpp
@@ -118,4 +118,10 @@
     return chart;
 }
 
+const state_chart &upstreamHealthChart()
+{
+    static const state_chart chart = parseShipped(upstreamHealthChartText());
+    return chart;
+}
+
 } // namespace figstair
--- /dev/null
+++ b/src/core/upstream_directory.cpp
@@ -0,0 +1,260 @@
+#include "figstair/core/upstream_directory.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+#include <xxhash.h>
+
+namespace figstair {
+namespace {
+
+/// Added to the stated cold time: the entry is some time old when it is seen.
+constexpr milliseconds coldMargin{100};
+
+/// How often upstreams whose flows have ended are looked for.
+constexpr milliseconds sweepInterval{1000};
+
+} // namespace
+
+std::uint32_t upstreamTag(std::uint64_t id)
+{
+    const auto tag = static_cast<std::uint32_t>(XXH3_64bits(&id, sizeof id));
+    return tag == 0 ? 1 : tag;
+}
+
+upstream_directory::upstream_directory(milliseconds flowLife)
+    : m_flowLife(flowLife)
+{
+}
+
+void upstream_directory::touch()
+{
+    ++m_generation;
+}
+
+std::uint16_t upstream_directory::zoneNumber(const std::string &zone)
+{
+    const auto found = std::find(m_zoneNames.begin(), m_zoneNames.end(), zone);
+    if (found == m_zoneNames.end()) {
+        m_zoneNames.push_back(zone);
+        return static_cast<std::uint16_t>(m_zoneNames.size() - 1);
+    }
+    return static_cast<std::uint16_t>(found - m_zoneNames.begin());
+}
+
+bool upstream_directory::isEvacuated(std::uint16_t zone) const
+{
+    const auto found = m_evacuations.find(m_zoneNames[zone]);
+    return found != m_evacuations.end() && found->second.isInForce;
+}
+
+upstream_index upstream_directory::findTag(std::uint32_t tag) const
+{
+    const auto found = m_byTag.find(tag);
+    return found == m_byTag.end() ? noUpstream : found->second;
+}
+
+upstream_index upstream_directory::add(std::uint64_t id)
+{
+    upstream_index index = static_cast<upstream_index>(m_upstreams.size());
+    if (m_free.empty()) {
+        m_upstreams.emplace_back();
+    } else {
+        index = m_free.back();
+        m_free.pop_back();
+        m_upstreams[index] = known_upstream{};
+    }
+    known_upstream &upstream = m_upstreams[index];
+    upstream.entry.id = id;
+    upstream.tag = upstreamTag(id);
+    m_byId.emplace(id, index);
+    const auto [slot, isNew] = m_byTag.emplace(upstream.tag, index);
+    if (!isNew) {
+        upstream.isTagShared = true;
+        m_upstreams[slot->second].isTagShared = true;
+    }
+    return index;
+}
+
+void upstream_directory::apply(const record_change &change, monotonic_time now,
+                               milliseconds returnHold)
+{
+    if (change.kind == record_kind::upstream) {
+        applyUpstream(change, now);
+    } else if (change.kind == record_kind::evacuation) {
+        applyEvacuation(change, now, returnHold);
+    }
+}
+
+void upstream_directory::applyUpstream(const record_change &change, monotonic_time now)
+{
+    const std::uint64_t id = change.upstreamId;
+    const auto *entry = std::get_if<upstream_record>(&change.content);
+    auto found = m_byId.find(id);
+    if (found == m_byId.end()) {
+        if (entry == nullptr) {
+            return;
+        }
+        add(id);
+        found = m_byId.find(id);
+    }
+    known_upstream &upstream = m_upstreams[found->second];
+    if (change.revision < upstream.revision) {
+        return;
+    }
+    upstream.revision = change.revision;
+    upstream.isLapsing = false;
+    touch();
+    if (std::holds_alternative<record_change::removed>(change.content)) {
+        remove(upstream, now);
+        return;
+    }
+    if (entry == nullptr) {
+        unlist(upstream, now);
+        return;
+    }
+    if (upstream.entry.bornMs != entry->bornMs) {
+        upstream.bornSeenAt = now;
+    }
+    upstream.entry = *entry;
+    upstream.zone = zoneNumber(entry->zone);
+    upstream.isListed = true;
+    if (entry->coldFor > milliseconds::zero()) {
+        upstream.coldUntil = std::max(upstream.coldUntil, now + entry->coldFor + coldMargin);
+    }
+}
+
+void upstream_directory::applyEvacuation(const record_change &change, monotonic_time now,
+                                         milliseconds returnHold)
+{
+    evacuation &zone = m_evacuations[change.name];
+    if (change.revision < zone.revision) {
+        return;
+    }
+    zone.revision = change.revision;
+    // Whatever stands under the zone's name asks for its evacuation, readable or not.
+    const bool isInForce = !std::holds_alternative<record_change::removed>(change.content);
+    if (zone.isInForce && !isInForce) {
+        const std::uint16_t number = zoneNumber(change.name);
+        for (known_upstream &upstream : m_upstreams) {
+            if (upstream.isListed && upstream.zone == number) {
+                upstream.coldUntil = std::max(upstream.coldUntil, now + returnHold);
+            }
+        }
+    }
+    zone.isInForce = isInForce;
+    touch();
+}
+
+void upstream_directory::unlist(known_upstream &upstream, monotonic_time now)
+{
+    if (upstream.isListed) {
+        upstream.isListed = false;
+        upstream.unlistedAt = now;
+    }
+    upstream.isLapsing = false;
+}
+
+void upstream_directory::remove(known_upstream &upstream, monotonic_time now)
+{
+    if (now < m_graceUntil && upstream.isListed && !upstream.entry.isDraining) {
+        upstream.isLapsing = true;
+        m_hasLapsing = true;
+    } else {
+        unlist(upstream, now);
+    }
+}
+
+void upstream_directory::retain(boost::span<const record_change> listing, std::uint64_t revision,
+                                monotonic_time now)
+{
+    std::unordered_set<std::uint64_t> named;
+    std::unordered_set<std::string> zones;
+    for (const record_change &change : listing) {
+        if (const auto *entry = std::get_if<upstream_record>(&change.content)) {
+            named.insert(entry->id);
+        } else if (change.kind == record_kind::evacuation) {
+            zones.insert(change.name);
+        }
+    }
+    for (known_upstream &upstream : m_upstreams) {
+        if (!upstream.isListed || upstream.revision > revision
+            || named.count(upstream.entry.id) != 0) {
+            continue;
+        }
+        remove(upstream, now);
+    }
+    for (auto &[name, zone] : m_evacuations) {
+        if (zone.isInForce && zone.revision <= revision && zones.count(name) == 0) {
+            zone.isInForce = false;
+        }
+    }
+    touch();
+}
+
+void upstream_directory::advance(monotonic_time now)
+{
+    if (m_hasLapsing && now >= m_graceUntil) {
+        m_hasLapsing = false;
+        for (known_upstream &upstream : m_upstreams) {
+            if (upstream.isLapsing) {
+                unlist(upstream, now);
+                touch();
+            }
+        }
+    }
+    if (now < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = now + sweepInterval;
+    for (auto item = m_byId.begin(); item != m_byId.end();) {
+        known_upstream &upstream = m_upstreams[item->second];
+        if (upstream.isListed || now - upstream.unlistedAt < m_flowLife) {
+            ++item;
+            continue;
+        }
+        const auto tagged = m_byTag.find(upstream.tag);
+        if (tagged != m_byTag.end() && tagged->second == item->second) {
+            m_byTag.erase(tagged);
+        }
+        m_free.push_back(item->second);
+        item = m_byId.erase(item);
+        touch();
+    }
+}
+
+void upstream_directory::rebuild()
+{
+    m_lists.clear();
+    for (const auto &[id, index] : m_byId) {
+        const known_upstream &upstream = m_upstreams[index];
+        if (!upstream.isListed || upstream.entry.isDraining || upstream.isTagShared
+            || isEvacuated(upstream.zone)) {
+            continue;
+        }
+        zone_lists &lists = m_lists[upstream.entry.service];
+        lists.resize(std::max<std::size_t>(lists.size(), upstream.zone + std::size_t{1}));
+        lists[upstream.zone].push_back(index);
+    }
+    for (auto &[service, lists] : m_lists) {
+        for (std::vector<upstream_index> &list : lists) {
+            std::sort(list.begin(), list.end());
+        }
+    }
+    m_listGeneration = m_generation;
+}
+
+boost::span<const upstream_index> upstream_directory::candidates(const std::string &service,
+                                                                 std::uint16_t zone)
+{
+    if (m_listGeneration != m_generation) {
+        rebuild();
+    }
+    const auto found = m_lists.find(service);
+    if (found == m_lists.end() || zone >= found->second.size()) {
+        return {};
+    }
+    return found->second[zone];
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/host/entry_process.cpp
@@ -0,0 +1,489 @@
+#include "figstair/host/entry_process.h"
+
+#include <csignal>
+#include <ctime>
+#include <random>
+
+#include <sys/stat.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf.hpp>
+
+#include "figstair/core/entry_core.h"
+#include "figstair/host/asio_endpoint.h"
+#include "figstair/host/metrics.h"
+#include "figstair/host/event_log.h"
+#include "figstair/host/freeze_detector.h"
+#include "figstair/host/status_server.h"
+#include "figstair/host/store_session.h"
+#include "figstair/host/system_clock_source.h"
+
+namespace leaf = boost::leaf;
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace figstair {
+namespace {
+
+constexpr int socketBufferBytes = 1 << 20;
+constexpr int packetsPerWake = 64;
+constexpr std::size_t peerBufferBytes = 65536;
+
+/// The loop looks at what is due at least this often; a longer gap in time shows a freeze.
+constexpr milliseconds longestSleep{100};
+
+/// Shortest sleep: timers that are due a moment later are handled together.
+constexpr milliseconds shortestSleep{5};
+
+constexpr milliseconds logInterval{200};
+constexpr milliseconds settingsInterval{1000};
+
+/// After a request to stop: packets still come until the platform has missed two readiness checks,
+/// which it sends twice a second.
+constexpr milliseconds leastLeaving{1300};
+constexpr milliseconds quietBeforeEnd{300};
+
+/// Time kept between the last packet served and the end of the platform's patience.
+constexpr milliseconds graceReserve{700};
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return std::uint64_t{device()} << 32U | device();
+}
+
+} // namespace
+
+class entry_process::implementation : public entry_output, public store_session::environment
+{
+public:
+    implementation(const entry_process_settings &settings, std::string settingsFile,
+                   const platform_adapter &adapter)
+        : m_settings(settings)
+        , m_settingsFile(std::move(settingsFile))
+        , m_adapter(adapter)
+        , m_log(settings.core.self.name, m_clock)
+        , m_packets(m_io)
+        , m_peers(m_io)
+        , m_timer(m_io)
+        , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+        , m_packetBuffer(adapter.mostPacketBytes() + 1)
+        , m_peerBuffer(peerBufferBytes)
+        , m_settingsTime(settingsChangeTime())
+    {
+        // Unix milliseconds grow from life to life; a clock that is set back in between only delays
+        // others' belief in the new life until the old one is forgotten.
+        m_settings.core.self.incarnation
+            = static_cast<std::uint64_t>(m_clock.wall().time_since_epoch().count());
+        m_core = std::make_unique<entry_core>(m_settings.core, m_clock, randomNumber(), *this);
+        openSocket(m_packets, settings.listen);
+        openSocket(m_peers, settings.core.self.peerAddress);
+        m_readiness = std::make_unique<status_server>(
+            m_io, settings.readinessListen,
+            [this](const std::string &target) { return readinessPage(target); });
+        if (settings.metricsListen.port != 0) {
+            m_metricsServer = std::make_unique<status_server>(
+                m_io, settings.metricsListen, [this](const std::string &) {
+                    return status_page{200, "text/plain", m_metrics.toPrometheus()};
+                });
+        }
+        m_store = std::make_unique<store_session>(
+            adapter.openStore(m_io, settings.store, settings.storeTimeout), *m_core, m_clock,
+            m_settings.core.self, settings.announcementLife, randomNumber(), *this);
+        logEvent("started", {{"zone", settings.core.self.zone},
+                             {"listen", toString(settings.listen)},
+                             {"peer", toString(settings.core.self.peerAddress)},
+                             {"store", toString(settings.store)},
+                             {"version", FIGSTAIR_VERSION}});
+    }
+
+    int run()
+    {
+        waitForSignal();
+        receivePackets();
+        receivePeerMessages();
+        loop();
+        m_io.run();
+        logEvent("stopped", {});
+        m_log.flush();
+        return 0;
+    }
+
+private:
+    // entry_output
+
+    void forward(byte_view packet, const known_upstream &upstream) override
+    {
+        m_adapter.encodeForUpstream(packet, upstream, m_sendBuffer);
+        send(m_packets, upstream.entry.address, m_sendBuffer);
+    }
+
+    void reset(const flow_id &flow, std::uint32_t sequence) override
+    {
+        m_adapter.encodeReset(flow, sequence, m_sendBuffer);
+        boost::system::error_code error;
+        m_packets.send_to(asio::buffer(m_sendBuffer),
+                          udp::endpoint(asio::ip::address_v4(flow.callerAddress),
+                                        m_settings.listen.port),
+                          0, error);
+        noteSendError(error);
+    }
+
+    void sendToPeer(const endpoint &to, byte_view message) override
+    {
+        boost::system::error_code error;
+        m_peers.send_to(asio::buffer(message.data(), message.size()), toAsio<udp::endpoint>(to), 0,
+                        error);
+        noteSendError(error);
+    }
+
+    void logEvent(std::string_view name, event_fields fields) override
+    {
+        m_log.write(name, fields);
+    }
+
+    void count(entry_counter which, std::uint64_t amount) override
+    {
+        if (amount > 0) {
+            m_metrics.count(which, amount);
+        }
+    }
+
+    void observe(entry_distribution which, milliseconds value) override
+    {
+        m_metrics.observe(which, value);
+    }
+
+    // store_session::environment
+
+    void sendToPeers(const entry_message &message) override
+    {
+        if (!m_key) {
+            return;
+        }
+        const byte_buffer bytes = encodeEntryMessage(*m_key, message);
+        for (const auto &[name, peer] : m_core->roster().peers()) {
+            sendToPeer(peer.entry.peerAddress, bytes);
+        }
+    }
+
+    void sendToPeer(const endpoint &to, const entry_message &message) override
+    {
+        if (m_key) {
+            sendToPeer(to, encodeEntryMessage(*m_key, message));
+        }
+    }
+
+    void adoptKey(const peer_key &key) override
+    {
+        if (!m_key || *m_key != key) {
+            m_key = key;
+            logEvent("peer_key_adopted", {});
+        }
+    }
+
+    // Sockets
+
+    void openSocket(udp::socket &socket, const endpoint &where)
+    {
+        const auto local = toAsio<udp::endpoint>(where);
+        socket.open(local.protocol());
+        boost::system::error_code error;
+        socket.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes), error);
+        if (error) {
+            logEvent("socket_option_refused", {{"problem", error.message()}});
+        }
+        socket.bind(local);
+        socket.non_blocking(true);
+    }
+
+    void noteSendError(boost::system::error_code error)
+    {
+        if (error) {
+            logEvent("send_failed", {{"problem", error.message()}});
+        }
+    }
+
+    void send(udp::socket &socket, const endpoint &to, const byte_buffer &bytes)
+    {
+        boost::system::error_code error;
+        socket.send_to(asio::buffer(bytes), toAsio<udp::endpoint>(to), 0, error);
+        noteSendError(error);
+    }
+
+    void receivePackets()
+    {
+        m_packets.async_wait(udp::socket::wait_read, [this](boost::system::error_code error) {
+            if (error) {
+                return;
+            }
+            noticeFreeze();
+            readPackets();
+            runDue();
+            receivePackets();
+        });
+    }
+
+    void readPackets()
+    {
+        for (int count = 0; count < packetsPerWake; ++count) {
+            boost::system::error_code error;
+            const std::size_t size = m_packets.receive(asio::buffer(m_packetBuffer), 0, error);
+            if (error) {
+                return;
+            }
+            const byte_view bytes(m_packetBuffer.data(), size);
+            const auto packet = m_adapter.decodePacket(bytes);
+            if (!packet) {
+                this->count(entry_counter::packetsMalformed, 1);
+                logEvent("packet_malformed", {{"bytes", std::to_string(size)}});
+                continue;
+            }
+            m_core->onPacket(*packet, bytes);
+        }
+    }
+
+    void receivePeerMessages()
+    {
+        m_peers.async_wait(udp::socket::wait_read, [this](boost::system::error_code error) {
+            if (error) {
+                return;
+            }
+            noticeFreeze();
+            for (int count = 0; count < packetsPerWake; ++count) {
+                boost::system::error_code problem;
+                const std::size_t size = m_peers.receive(asio::buffer(m_peerBuffer), 0, problem);
+                if (problem) {
+                    break;
+                }
+                onPeerMessage(byte_view(m_peerBuffer.data(), size));
+            }
+            receivePeerMessages();
+        });
+    }
+
+    void onPeerMessage(byte_view bytes)
+    {
+        if (!m_key) {
+            return;
+        }
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(message, decodeEntryMessage(*m_key, bytes));
+                std::visit([this](const auto &content) { take(content); }, message);
+                return {};
+            },
+            [this](const entry_message_error &error) {
+                count(entry_counter::peerMessagesRejected, 1);
+                logEvent("peer_message_rejected", {{"problem", error.problem}});
+            },
+            [this] { count(entry_counter::peerMessagesRejected, 1); });
+    }
+
+    void take(const peer_report &report)
+    {
+        m_core->onPeerReport(report);
+        m_store->onPeerReport(report);
+    }
+    void take(const view_changes &changes) { m_store->onPassedOn(changes); }
+    void take(const view_pull &pull) { m_store->onPull(pull); }
+
+    // Time
+
+    void noticeFreeze()
+    {
+        if (const auto gap = m_freezes.observe()) {
+            logEvent("froze", {{"ms", std::to_string(gap->count())}});
+            m_core->onFreeze();
+        }
+    }
+
+    void loop()
+    {
+        noticeFreeze();
+        runDue();
+        const monotonic_time now = m_clock.monotonic();
+        const monotonic_time next
+            = std::min({m_core->nextDeadline(), m_store->nextDeadline(), m_nextReport});
+        m_timer.expires_after(std::clamp<milliseconds>(next - now, shortestSleep, longestSleep));
+        m_timer.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                loop();
+            }
+        });
+    }
+
+    void runDue()
+    {
+        const monotonic_time now = m_clock.monotonic();
+        if (now >= m_core->nextDeadline()) {
+            m_core->tick();
+        }
+        if (now >= m_store->nextDeadline()) {
+            m_store->tick();
+        }
+        if (now >= m_nextReport) {
+            m_nextReport = now + m_core->reportInterval();
+            sendReport();
+        }
+        if (now >= m_nextLog) {
+            m_nextLog = now + logInterval;
+            m_log.flush();
+            count(entry_counter::logLinesDropped, m_log.takeDropped());
+        }
+        if (now >= m_nextSettings) {
+            m_nextSettings = now + settingsInterval;
+            rereadIfChanged();
+        }
+        if (m_core->isLeaving()) {
+            endIfQuiet(now);
+        }
+    }
+
+    void sendReport()
+    {
+        if (!m_key) {
+            return;
+        }
+        peer_report report = m_core->makeReport();
+        report.viewRevision = m_store->feed().revision();
+        report.viewAge = m_store->feed().age(m_clock.monotonic());
+        const byte_buffer bytes = encodeEntryMessage(*m_key, report);
+        for (const endpoint &target : m_core->reportTargets()) {
+            sendToPeer(target, bytes);
+        }
+    }
+
+    // Life
+
+    status_page readinessPage(const std::string &target)
+    {
+        if (target != m_adapter.readinessPath()) {
+            return status_page{404, "text/plain", "not found\n"};
+        }
+        const bool isReady = !m_core->isLeaving() && m_core->hasConfig();
+        return isReady ? status_page{200, "text/plain", "ready\n"}
+                       : status_page{503, "text/plain", "not ready\n"};
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](boost::system::error_code error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                reread("signal");
+            } else {
+                startLeaving();
+            }
+            waitForSignal();
+        });
+    }
+
+    void startLeaving()
+    {
+        if (m_core->isLeaving()) {
+            return;
+        }
+        m_leavingSince = m_clock.monotonic();
+        m_core->leave();
+        m_store->withdraw();
+        sendReport();
+        logEvent("leaving", {{"grace_ms", std::to_string(m_settings.grace.count())}});
+    }
+
+    void endIfQuiet(monotonic_time now)
+    {
+        const milliseconds since = now - m_leavingSince;
+        const bool isQuiet = since >= leastLeaving && now - m_core->lastPacketAt() >= quietBeforeEnd;
+        if (isQuiet || since + graceReserve >= m_settings.grace) {
+            m_io.stop();
+        }
+    }
+
+    // Settings
+
+    std::int64_t settingsChangeTime() const
+    {
+        struct stat status{};
+        if (stat(m_settingsFile.c_str(), &status) != 0) {
+            return 0;
+        }
+        return std::int64_t{status.st_mtim.tv_sec} * 1'000'000'000 + status.st_mtim.tv_nsec;
+    }
+
+    void rereadIfChanged()
+    {
+        const std::int64_t time = settingsChangeTime();
+        if (time != 0 && time != m_settingsTime) {
+            reread("changed");
+        }
+    }
+
+    void reread(const char *why)
+    {
+        m_settingsTime = settingsChangeTime();
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(text, readTextFile(m_settingsFile));
+                BOOST_LEAF_AUTO(settings, parseEntrySettings(m_settingsFile, text));
+                // Addresses and names hold for the life of the process.
+                settings.core.self = m_settings.core.self;
+                m_settings.core = settings.core;
+                m_settings.grace = settings.grace;
+                m_core->updateSettings(m_settings.core);
+                logEvent("settings_reloaded", {{"why", why}});
+                return {};
+            },
+            [&](const settings_error &error) {
+                logEvent("settings_rejected", {{"why", why}, {"problem", toText(error)}});
+            },
+            [&] { logEvent("settings_rejected", {{"why", why}}); });
+    }
+
+    entry_process_settings m_settings;
+    std::string m_settingsFile;
+    const platform_adapter &m_adapter;
+    system_clock_source m_clock;
+    event_log m_log;
+    entry_metrics m_metrics;
+    freeze_detector m_freezes;
+    asio::io_context m_io{1};
+    udp::socket m_packets;
+    udp::socket m_peers;
+    asio::steady_timer m_timer;
+    asio::signal_set m_signals;
+    std::unique_ptr<entry_core> m_core;
+    std::unique_ptr<status_server> m_readiness;
+    std::unique_ptr<status_server> m_metricsServer;
+    std::unique_ptr<store_session> m_store;
+    std::optional<peer_key> m_key;
+    byte_buffer m_packetBuffer;
+    byte_buffer m_peerBuffer;
+    byte_buffer m_sendBuffer;
+    std::int64_t m_settingsTime;
+    monotonic_time m_nextReport{};
+    monotonic_time m_nextLog{};
+    monotonic_time m_nextSettings{};
+    monotonic_time m_leavingSince{};
+};
+
+entry_process::entry_process(const entry_process_settings &settings, std::string settingsFile,
+                             const platform_adapter &adapter)
+    : m_implementation(
+        std::make_unique<implementation>(settings, std::move(settingsFile), adapter))
+{
+}
+
+entry_process::~entry_process() = default;
+
+int entry_process::run()
+{
+    return m_implementation->run();
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/host/entry_process_settings.cpp
@@ -0,0 +1,100 @@
+#include "figstair/host/entry_process_settings.h"
+
+#include <cmath>
+
+#include <boost/leaf.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace figstair {
+namespace {
+
+/// Port on which metrics are served when the file names none; deploy/system.toml names the same.
+constexpr std::uint16_t defaultMetricsPort = 9464;
+
+/// Reads seconds, also with a fraction.
+bool readSeconds(const std::string &text, double least, double most, milliseconds &target)
+{
+    double seconds = 0;
+    if (!readNumber(text, least, most, seconds)) {
+        return false;
+    }
+    target = milliseconds(std::llround(seconds * 1000));
+    return true;
+}
+
+/// Reads "7720,7735": the first port of the range is the one used between hosts.
+bool readPortRange(const std::string &text, std::uint16_t &target)
+{
+    return readNumber<std::uint16_t>(text.substr(0, text.find(',')), 1, 65535, target);
+}
+
+bool readAddress(const std::string &text, endpoint &target)
+{
+    return readEndpoint(text + ":0", target);
+}
+
+std::vector<settings_key> knownKeys(entry_process_settings &s)
+{
+    constexpr const char *nameText = "a name of 1 to 64 characters without space, comma, = or \"";
+    constexpr const char *addressText = "an IP address and port such as 10.0.0.1:7000";
+    return {
+        {"host", "name", true, nameText,
+         [&s](const std::string &v) { return readName(v, s.core.self.name); }},
+        {"host", "zone", true, nameText,
+         [&s](const std::string &v) { return readName(v, s.core.self.zone); }},
+        {"host", "listen", true, addressText,
+         [&s](const std::string &v) { return readEndpoint(v, s.listen); }},
+        {"host", "readiness_listen", true, addressText,
+         [&s](const std::string &v) { return readEndpoint(v, s.readinessListen); }},
+        {"host", "internal_address", true, "an IP address such as 10.0.0.1",
+         [&s](const std::string &v) {
+             const bool isRead = readAddress(v, s.core.self.peerAddress);
+             s.metricsListen = s.core.self.peerAddress;
+             s.metricsListen.port = defaultMetricsPort;
+             return isRead;
+         }},
+        {"host", "internal_ports", true, "the first and the last port, separated by a comma",
+         [&s](const std::string &v) { return readPortRange(v, s.core.self.peerAddress.port); }},
+        {"host", "metrics_port", false, "a port from 0 (off) to 65535",
+         [&s](const std::string &v) {
+             return readNumber<std::uint16_t>(v, 0, 65535, s.metricsListen.port);
+         }},
+        {"host", "grace_s", false, "seconds from 0.1 to 3600",
+         [&s](const std::string &v) { return readSeconds(v, 0.1, 3600, s.grace); }},
+        {"host", "most_flows", false, "a whole number from 1000 to 10000000",
+         [&s](const std::string &v) {
+             return readNumber<std::size_t>(v, 1000, 10000000, s.core.maxFlows);
+         }},
+        {"store", "endpoint", true, addressText,
+         [&s](const std::string &v) { return readEndpoint(v, s.store); }},
+        {"store", "timeout_ms", false, "a whole number from 50 to 60000",
+         [&s](const std::string &v) { return readMs(v, 50, 60000, s.storeTimeout); }},
+        {"store", "announcement_life_ms", false, "a whole number from 1000 to 600000",
+         [&s](const std::string &v) { return readMs(v, 1000, 600000, s.announcementLife); }},
+        {"upstreams", "heartbeat_ms", false, "a whole number from 10 to 600000",
+         [&s](const std::string &v) { return readMs(v, 10, 600000, s.core.heartbeat); }},
+        {"upstreams", "flow_life_s", false, "seconds from 1 to 86400",
+         [&s](const std::string &v) { return readSeconds(v, 1, 86400, s.core.flowLife); }},
+        {"upstreams", "cold_overshoot", false, "a number from 1 to 100",
+         [&s](const std::string &v) {
+             return readNumber<double>(v, 1, 100, s.core.coldOvershoot);
+         }},
+        {"upstreams", "cold_slack", false, "a number from 0 to 1000000",
+         [&s](const std::string &v) {
+             return readNumber<double>(v, 0, 1000000, s.core.coldSlack);
+         }},
+    };
+}
+
+} // namespace
+
+leaf::result<entry_process_settings> parseEntrySettings(const std::string &fileName,
+                                                        const std::string &text)
+{
+    entry_process_settings settings;
+    BOOST_LEAF_CHECK(readSettings(fileName, text, knownKeys(settings), unknown_keys::ignored));
+    return settings;
+}
+
+} // namespace figstair
--- a/src/host/event_log.cpp
+++ b/src/host/event_log.cpp
@@ -1,11 +1,13 @@
 #include "figstair/host/event_log.h"
 
 #include <glog/logging.h>
+#include <unistd.h>
 
 namespace figstair {
 namespace {
 
-constexpr unsigned linesPerWindow = 20;
+/// Lines of one name a second: more than the decisions a host takes on a normal day.
+constexpr unsigned linesPerWindow = 100;
 constexpr milliseconds windowLength{1000};
 
 void appendValue(std::string &line, std::string_view value)
@@ -29,6 +31,7 @@
 
 event_log::event_log(std::string hostName, const clock_source &clock)
     : m_hostName(std::move(hostName))
+    , m_output(STDOUT_FILENO)
     , m_clock(clock)
 {
 }
@@ -51,7 +54,8 @@
         return;
     }
     ++current.written;
-    std::string line = "event=" + std::string(name) + " host=" + m_hostName;
+    std::string line = "time_ms=" + std::to_string(m_clock.wall().time_since_epoch().count())
+        + " event=" + std::string(name) + " host=" + m_hostName;
     for (const auto &[key, value] : fields) {
         line += ' ';
         line += key;
@@ -61,7 +65,12 @@
     if (dropped > 0) {
         line += " dropped_before=" + std::to_string(dropped);
     }
-    LOG(INFO) << line;
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&m_output, INFO) << line;
+}
+
+void event_log::flush()
+{
+    m_output.flush();
 }
 
 } // namespace figstair
--- a/src/host/host_process.cpp
+++ b/src/host/host_process.cpp
@@ -21,7 +21,7 @@
 #include "figstair/host/system_clock_source.h"
 #include "figstair/peer/peer_links.h"
 #include "figstair/peer/peer_message.h"
-#include "figstair/platform/etcd_gateway_store.h"
+#include "figstair/store/etcd_gateway_store.h"
 
 namespace leaf = boost::leaf;
 namespace asio = boost::asio;
@@ -96,6 +96,7 @@
         tick();
         m_io.run();
         m_watcher.reset();
+        m_log.flush();
         return 0;
     }
 
@@ -127,6 +128,7 @@
     void tick()
     {
         m_core->tick();
+        m_log.flush();
         m_watcher->follow(m_core->watchesPlatform(), m_core->currentTable().revision());
         if (m_core->isStopped()) {
             close();
--- a/src/host/metrics.cpp
+++ b/src/host/metrics.cpp
@@ -12,52 +12,54 @@
 constexpr double leastTimeMs = 0.5;
 constexpr double greatestTimeMs = 65536.0;
 
-std::vector<int> counterNumbers()
+std::vector<int> numbersBelow(std::size_t count)
 {
-    std::vector<int> numbers(static_cast<std::size_t>(counter::count));
+    std::vector<int> numbers(count);
     std::iota(numbers.begin(), numbers.end(), 0);
     return numbers;
 }
 
 } // namespace
 
-metrics::metrics()
-    : m_counters(boost::histogram::make_histogram(counter_axis(counterNumbers())))
+metric_store::metric_store(std::vector<std::string> counterNames,
+                           std::vector<std::string> distributionNames)
+    : m_counterNames(std::move(counterNames))
+    , m_distributionNames(std::move(distributionNames))
+    , m_counters(
+          boost::histogram::make_histogram(counter_axis(numbersBelow(m_counterNames.size()))))
+    , m_sums(m_distributionNames.size())
 {
-    for (std::size_t index = 0; index < static_cast<std::size_t>(distribution::count); ++index) {
+    for (std::size_t index = 0; index < m_distributionNames.size(); ++index) {
         m_times.push_back(
             boost::histogram::make_histogram(time_axis(timeBins, leastTimeMs, greatestTimeMs)));
     }
 }
 
-void metrics::count(counter which, std::uint64_t amount)
+void metric_store::count(std::size_t which, std::uint64_t amount)
 {
     m_counters(static_cast<int>(which), boost::histogram::weight(amount));
 }
 
-void metrics::observe(distribution which, milliseconds value)
+void metric_store::observe(std::size_t which, milliseconds value)
 {
-    const auto index = static_cast<std::size_t>(which);
-    m_times[index](static_cast<double>(value.count()));
-    m_sums[index] += static_cast<double>(value.count());
+    m_times[which](static_cast<double>(value.count()));
+    m_sums[which] += static_cast<double>(value.count());
 }
 
-std::uint64_t metrics::value(counter which) const
+std::uint64_t metric_store::value(std::size_t which) const
 {
     return static_cast<std::uint64_t>(double(m_counters.at(static_cast<int>(which))));
 }
 
-std::string metrics::toPrometheus() const
+std::string metric_store::toPrometheus() const
 {
     std::ostringstream text;
-    for (std::size_t index = 0; index < static_cast<std::size_t>(counter::count); ++index) {
-        const auto which = static_cast<counter>(index);
-        const std::string name = "figstair_" + std::string(toText(which)) + "_total";
-        text << "# TYPE " << name << " counter\n" << name << " " << value(which) << "\n";
+    for (std::size_t index = 0; index < m_counterNames.size(); ++index) {
+        const std::string name = "figstair_" + m_counterNames[index] + "_total";
+        text << "# TYPE " << name << " counter\n" << name << " " << value(index) << "\n";
     }
     for (std::size_t index = 0; index < m_times.size(); ++index) {
-        const std::string name =
-            "figstair_" + std::string(toText(static_cast<distribution>(index)));
+        const std::string name = "figstair_" + m_distributionNames[index];
         text << "# TYPE " << name << " histogram\n";
         double seen = 0;
         const auto &times = m_times[index];
--- a/src/host/platform_watcher.cpp
+++ b/src/host/platform_watcher.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/leaf.hpp>
 
-#include "figstair/platform/table_store.h"
+#include "figstair/store/table_store.h"
 
 namespace leaf = boost::leaf;
 
--- /dev/null
+++ b/src/host/store_session.cpp
@@ -0,0 +1,298 @@
+#include "figstair/host/store_session.h"
+
+#include <algorithm>
+
+#include <sodium.h>
+
+namespace figstair {
+namespace {
+
+/// Key of the ranking that names the host which reads the store for all.
+constexpr std::uint64_t readerKey = 1;
+
+/// Changes kept for hosts that missed them.
+constexpr std::size_t mostKeptChanges = 64;
+
+/// Share of its life after which an announcement is renewed.
+constexpr int renewalsPerLife = 3;
+
+/// Pause after a failed announcement.
+constexpr milliseconds announcementPause{1000};
+
+} // namespace
+
+store_session::store_session(std::unique_ptr<fleet_store> store, entry_core &core,
+                             const clock_source &clock, const host_record &self,
+                             milliseconds announcementLife, std::uint64_t seed,
+                             environment &surroundings)
+    : m_store(std::move(store))
+    , m_core(core)
+    , m_clock(clock)
+    , m_self(self)
+    , m_announcementLife(announcementLife)
+    , m_environment(surroundings)
+    , m_feed(seed)
+    , m_random(seed)
+{
+}
+
+unsigned store_session::rank() const
+{
+    return m_core.roster().rankOf(readerKey, m_clock.monotonic());
+}
+
+void store_session::tick()
+{
+    const monotonic_time now = m_clock.monotonic();
+    startCall(m_feed.nextCall(now, rank()));
+    if (m_feed.takePull(now)) {
+        m_environment.sendToPeers(view_pull{m_feed.revision(), m_self.peerAddress});
+    }
+    if (m_feed.isLoaded() && !m_isAnnouncing && !m_isWithdrawn && now >= m_nextAnnouncement) {
+        continueAnnouncing();
+    }
+    m_environment.count(entry_counter::storeCalls, m_store->takeCallCount());
+}
+
+monotonic_time store_session::nextDeadline() const
+{
+    const monotonic_time next = m_feed.nextDeadline(m_clock.monotonic(), rank());
+    return m_isAnnouncing || m_isWithdrawn || !m_feed.isLoaded()
+        ? next
+        : std::min(next, m_nextAnnouncement);
+}
+
+void store_session::startCall(const feed_call &call)
+{
+    if (call.what == feed_call::kind::list) {
+        m_store->list(
+            [this](store_reply<store_records> reply) { onListed(std::move(reply)); });
+    } else if (call.what == feed_call::kind::watch) {
+        m_store->watch(call.after, call.wait,
+                       [this, after = call.after](store_reply<store_records> reply) {
+                           onWatched(after, std::move(reply));
+                       });
+    }
+}
+
+void store_session::noteFailure(const char *call, const store_error &error)
+{
+    m_environment.count(entry_counter::storeFailures, 1);
+    if (m_wasReachable) {
+        m_wasReachable = false;
+        m_environment.logEvent(
+            "store_lost",
+            {{"call", call},
+             {"reason", std::string(toText(error.why))},
+             {"problem", error.problem},
+             {"view_revision", std::to_string(m_feed.revision())},
+             {"view_age_ms", std::to_string(m_feed.age(m_clock.monotonic()).count())}});
+    }
+}
+
+void store_session::noteSuccess()
+{
+    if (!m_wasReachable) {
+        m_wasReachable = true;
+        m_environment.logEvent("store_regained",
+                               {{"view_revision", std::to_string(m_feed.revision())}});
+    }
+}
+
+void store_session::take(const std::vector<record_change> &records)
+{
+    m_core.keepLapsedUntil(m_feed.graceUntil());
+    for (const record_change &change : records) {
+        if (const auto *key = std::get_if<shared_key>(&change.content)) {
+            m_environment.adoptKey(key->key);
+        } else {
+            m_core.onChange(change);
+        }
+        const bool isOwn = change.kind == record_kind::host && change.name == m_self.name;
+        if (isOwn && std::holds_alternative<record_change::removed>(change.content)
+            && m_isAnnounced) {
+            m_isAnnounced = false;
+            m_lease = 0;
+            m_nextAnnouncement = m_clock.monotonic();
+        }
+    }
+}
+
+void store_session::keep(std::uint64_t after, std::uint64_t revision,
+                         const std::vector<record_change> &records)
+{
+    m_history.push_back(kept_change{after, revision, records});
+    while (m_history.size() > mostKeptChanges) {
+        m_history.pop_front();
+    }
+}
+
+void store_session::onListed(store_reply<store_records> reply)
+{
+    const monotonic_time now = m_clock.monotonic();
+    if (const auto *error = std::get_if<store_error>(&reply)) {
+        m_feed.onFailed(false, now);
+        noteFailure("list", *error);
+        return;
+    }
+    const auto &listing = std::get<store_records>(reply);
+    const bool isFirst = !m_feed.isLoaded();
+    m_feed.onListed(listing.revision, now);
+    noteSuccess();
+    m_history.clear();
+    take(listing.records);
+    m_core.onListing(listing.records, listing.revision);
+    m_environment.logEvent("view_listed", {{"revision", std::to_string(listing.revision)},
+                                           {"records", std::to_string(listing.records.size())},
+                                           {"first", isFirst ? "1" : "0"}});
+    offerKeyIfMissing(listing.records);
+    tick();
+}
+
+void store_session::offerKeyIfMissing(const std::vector<record_change> &listing)
+{
+    const bool isThere = std::any_of(listing.begin(), listing.end(), [](const auto &change) {
+        return std::holds_alternative<shared_key>(change.content);
+    });
+    if (isThere) {
+        return;
+    }
+    shared_key key;
+    randombytes_buf(key.key.data(), key.key.size());
+    m_store->offerKey(key, [this, key](store_reply<std::monostate> reply) {
+        const auto *error = std::get_if<store_error>(&reply);
+        if (error == nullptr) {
+            m_environment.adoptKey(key.key);
+        } else if (error->why != store_error::reason::conflict) {
+            noteFailure("offer_key", *error);
+        }
+    });
+}
+
+void store_session::onWatched(std::uint64_t after, store_reply<store_records> reply)
+{
+    const monotonic_time now = m_clock.monotonic();
+    if (const auto *error = std::get_if<store_error>(&reply)) {
+        const bool isGone = error->why == store_error::reason::historyGone;
+        m_feed.onFailed(isGone, now);
+        if (isGone) {
+            m_environment.logEvent("view_history_gone", {{"revision", std::to_string(after)}});
+        } else {
+            noteFailure("watch", *error);
+        }
+        tick();
+        return;
+    }
+    const auto &events = std::get<store_records>(reply);
+    m_feed.onWatched(events.revision, now);
+    noteSuccess();
+    take(events.records);
+    if (events.revision > after) {
+        keep(after, events.revision, events.records);
+        const milliseconds grace = std::max(milliseconds::zero(), m_feed.graceUntil() - now);
+        m_environment.sendToPeers(view_changes{after, events.revision, m_feed.age(now), grace,
+                                               events.records});
+    }
+    tick();
+}
+
+void store_session::onPassedOn(const view_changes &changes)
+{
+    const monotonic_time now = m_clock.monotonic();
+    const std::uint64_t before = m_feed.revision();
+    if (m_feed.onPassedOn(changes.after, changes.revision, changes.age, changes.grace, now)) {
+        take(changes.records);
+        keep(std::max(before, changes.after), changes.revision, changes.records);
+    }
+}
+
+void store_session::onPull(const view_pull &pull)
+{
+    // The history has no gaps: a change that follows the asker's revision starts the rest.
+    const auto first = std::find_if(m_history.begin(), m_history.end(), [&](const auto &change) {
+        return change.after <= pull.after && pull.after < change.revision;
+    });
+    if (first == m_history.end()) {
+        return;
+    }
+    const monotonic_time now = m_clock.monotonic();
+    view_changes changes{pull.after, pull.after, m_feed.age(now), milliseconds::zero(), {}};
+    for (auto change = first; change != m_history.end(); ++change) {
+        if (change->after > changes.revision) {
+            break;
+        }
+        changes.records.insert(changes.records.end(), change->records.begin(),
+                               change->records.end());
+        changes.revision = change->revision;
+    }
+    m_environment.sendToPeer(pull.replyTo, changes);
+}
+
+void store_session::onPeerReport(const peer_report &report)
+{
+    m_feed.onPeerView(report.viewRevision, report.viewAge, m_clock.monotonic());
+}
+
+void store_session::onAnnouncementFailed(const char *call, const store_error &error)
+{
+    m_isAnnouncing = false;
+    if (error.why == store_error::reason::leaseGone) {
+        m_lease = 0;
+        m_isAnnounced = false;
+        m_nextAnnouncement = m_clock.monotonic();
+        return;
+    }
+    noteFailure(call, error);
+    m_nextAnnouncement = m_clock.monotonic() + announcementPause
+        + milliseconds(m_random() % static_cast<unsigned>(announcementPause.count()));
+}
+
+void store_session::continueAnnouncing()
+{
+    m_isAnnouncing = true;
+    if (m_lease == 0) {
+        m_store->grantLease(m_announcementLife, [this](store_reply<std::uint64_t> reply) {
+            if (const auto *error = std::get_if<store_error>(&reply)) {
+                onAnnouncementFailed("grant_lease", *error);
+                return;
+            }
+            m_lease = std::get<std::uint64_t>(reply);
+            continueAnnouncing();
+        });
+        return;
+    }
+    const auto onDone = [this](const char *call, const store_reply<std::monostate> &reply) {
+        if (const auto *error = std::get_if<store_error>(&reply)) {
+            onAnnouncementFailed(call, *error);
+            return;
+        }
+        m_isAnnouncing = false;
+        m_isAnnounced = true;
+        m_nextAnnouncement = m_clock.monotonic() + m_announcementLife / renewalsPerLife;
+    };
+    if (!m_isAnnounced) {
+        m_store->announce(m_self, m_lease, [onDone](const store_reply<std::monostate> &reply) {
+            onDone("announce", reply);
+        });
+    } else {
+        m_store->renewLease(m_lease, [onDone](const store_reply<std::monostate> &reply) {
+            onDone("renew_lease", reply);
+        });
+    }
+}
+
+void store_session::withdraw()
+{
+    m_isWithdrawn = true;
+    if (m_lease == 0) {
+        return;
+    }
+    m_store->endLease(m_lease, [this](const store_reply<std::monostate> &reply) {
+        if (const auto *error = std::get_if<store_error>(&reply)) {
+            noteFailure("end_lease", *error);
+        }
+    });
+    m_lease = 0;
+}
+
+} // namespace figstair
--- a/src/platform/base64.cpp
+++ b/src/store/base64.cpp
@@ -1,4 +1,4 @@
-#include "figstair/platform/base64.h"
+#include "figstair/store/base64.h"
 
 #include <sodium.h>
 
--- a/src/platform/etcd_gateway_store.cpp
+++ b/src/store/etcd_gateway_store.cpp
@@ -1,10 +1,10 @@
-#include "figstair/platform/etcd_gateway_store.h"
+#include "figstair/store/etcd_gateway_store.h"
 
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
 
-#include "figstair/platform/base64.h"
-#include "figstair/platform/http_client.h"
+#include "figstair/store/base64.h"
+#include "figstair/store/http_client.h"
 
 namespace leaf = boost::leaf;
 using nlohmann::json;
--- /dev/null
+++ b/src/store/http_connection.cpp
@@ -0,0 +1,197 @@
+#include "figstair/store/http_connection.h"
+
+#include <deque>
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "figstair/host/asio_endpoint.h"
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace figstair {
+namespace {
+
+constexpr std::size_t maxResponseBytes = std::size_t{64} << 20U;
+constexpr unsigned httpVersion = 11;
+
+/// A connection can fall silent without a reset. Probes show that within about two seconds, also
+/// while the server keeps a call waiting on purpose.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 1;
+constexpr int unacknowledgedDataMs = 1500;
+
+template <int name> using tcp_option = asio::detail::socket_option::integer<IPPROTO_TCP, name>;
+
+} // namespace
+
+class http_connection::implementation
+    : public std::enable_shared_from_this<http_connection::implementation>
+{
+public:
+    implementation(asio::io_context &io, const endpoint &where)
+        : m_io(io)
+        , m_where(where)
+    {
+    }
+
+    void send(http::verb method, const std::string &path, const std::string &body,
+              milliseconds timeout, std::function<void(http_reply)> handler)
+    {
+        call next;
+        next.request = {method, path, httpVersion};
+        next.request.set(http::field::host, toString(m_where));
+        if (method != http::verb::get) {
+            next.request.set(http::field::content_type, "application/json");
+            next.request.body() = body;
+        }
+        next.request.keep_alive(true);
+        next.request.prepare_payload();
+        next.timeout = timeout;
+        next.handler = std::move(handler);
+        m_calls.push_back(std::move(next));
+        if (!m_isBusy) {
+            startNext();
+        }
+    }
+
+    void close()
+    {
+        m_calls.clear();
+        m_stream.reset();
+    }
+
+private:
+    struct call
+    {
+        http::request<http::string_body> request;
+        milliseconds timeout{0};
+        std::function<void(http_reply)> handler;
+    };
+
+    void startNext()
+    {
+        m_isBusy = !m_calls.empty();
+        if (!m_isBusy) {
+            return;
+        }
+        m_current = std::move(m_calls.front());
+        m_calls.pop_front();
+        if (m_stream) {
+            m_stream->expires_after(m_current.timeout);
+            write();
+            return;
+        }
+        m_stream = std::make_unique<beast::tcp_stream>(m_io);
+        m_buffer.clear();
+        m_stream->expires_after(m_current.timeout);
+        m_stream->async_connect(toAsio<asio::ip::tcp::endpoint>(m_where),
+                                [self = shared_from_this()](beast::error_code error) {
+                                    if (error) {
+                                        self->fail(error);
+                                        return;
+                                    }
+                                    self->setOptions();
+                                    self->write();
+                                });
+    }
+
+    void setOptions()
+    {
+        asio::ip::tcp::socket &socket = m_stream->socket();
+        beast::error_code error;
+        socket.set_option(asio::ip::tcp::no_delay(true), error);
+        socket.set_option(asio::socket_base::keep_alive(true), error);
+        socket.set_option(tcp_option<TCP_KEEPIDLE>(keepAliveIdleSeconds), error);
+        socket.set_option(tcp_option<TCP_KEEPINTVL>(keepAliveIntervalSeconds), error);
+        socket.set_option(tcp_option<TCP_KEEPCNT>(keepAliveProbes), error);
+        socket.set_option(tcp_option<TCP_USER_TIMEOUT>(unacknowledgedDataMs), error);
+    }
+
+    void write()
+    {
+        http::async_write(*m_stream, m_current.request,
+                          [self = shared_from_this()](beast::error_code error, std::size_t) {
+                              if (error) {
+                                  self->fail(error);
+                              } else {
+                                  self->read();
+                              }
+                          });
+    }
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(maxResponseBytes);
+        http::async_read(*m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](beast::error_code error, std::size_t) {
+                             if (error) {
+                                 self->fail(error);
+                             } else {
+                                 self->finish();
+                             }
+                         });
+    }
+
+    void fail(beast::error_code error)
+    {
+        m_stream.reset();
+        deliver(http_error{toString(m_where), error.message()});
+    }
+
+    void finish()
+    {
+        auto &message = m_parser->get();
+        http_response response{message.result_int(), std::move(message.body())};
+        if (message.keep_alive() && m_stream) {
+            m_stream->expires_never();
+        } else {
+            m_stream.reset();
+        }
+        deliver(std::move(response));
+    }
+
+    void deliver(http_reply reply)
+    {
+        const auto handler = std::move(m_current.handler);
+        m_current = call{};
+        if (handler) {
+            handler(std::move(reply));
+        }
+        startNext();
+    }
+
+    asio::io_context &m_io;
+    endpoint m_where;
+    std::unique_ptr<beast::tcp_stream> m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::deque<call> m_calls;
+    call m_current;
+    bool m_isBusy = false;
+};
+
+http_connection::http_connection(asio::io_context &io, const endpoint &where)
+    : m_implementation(std::make_shared<implementation>(io, where))
+{
+}
+
+http_connection::~http_connection()
+{
+    m_implementation->close();
+}
+
+void http_connection::send(http::verb method, const std::string &path, const std::string &body,
+                           milliseconds timeout, std::function<void(http_reply)> handler)
+{
+    m_implementation->send(method, path, body, timeout, std::move(handler));
+}
+
+} // namespace figstair
--- /dev/null
+++ b/src/wire/entry_message.cpp
@@ -0,0 +1,312 @@
+#include "figstair/wire/entry_message.h"
+
+#include <algorithm>
+
+#include <boost/leaf.hpp>
+#include <nlohmann/json.hpp>
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace figstair {
+namespace {
+
+constexpr std::size_t rowBytes = 8;
+constexpr std::uint16_t ejectedBit = 0x8000;
+
+/// Kinds of messages; the first member of each. A change of a message's form takes a new number.
+constexpr std::uint64_t reportKind = 1;
+constexpr std::uint64_t changesKind = 2;
+constexpr std::uint64_t pullKind = 3;
+
+/// Error number that nlohmann::json uses for errors of its callers.
+constexpr int contentError = 501;
+
+[[noreturn]] void refuse(const char *problem, const json &value)
+{
+    throw json::other_error::create(contentError, problem, &value);
+}
+
+void append(std::vector<std::uint8_t> &bytes, std::uint64_t value, unsigned count)
+{
+    for (unsigned index = count; index > 0; --index) {
+        bytes.push_back(static_cast<std::uint8_t>(value >> (index - 1) * 8U));
+    }
+}
+
+std::uint64_t read(const std::uint8_t *bytes, unsigned count)
+{
+    std::uint64_t value = 0;
+    for (unsigned index = 0; index < count; ++index) {
+        value = value << 8U | bytes[index];
+    }
+    return value;
+}
+
+json::binary_t encodeRows(const std::vector<load_row> &rows)
+{
+    std::vector<std::uint8_t> bytes;
+    bytes.reserve(rows.size() * rowBytes);
+    for (const load_row &row : rows) {
+        append(bytes, row.tag, 4);
+        append(bytes, row.openRequests, 2);
+        const auto slowness = std::min<std::uint16_t>(row.slowness, ejectedBit - 1);
+        append(bytes, row.isEjected ? slowness | ejectedBit : slowness, 2);
+    }
+    return json::binary_t(std::move(bytes));
+}
+
+std::vector<load_row> decodeRows(const std::vector<std::uint8_t> &bytes)
+{
+    std::vector<load_row> rows;
+    rows.reserve(bytes.size() / rowBytes);
+    for (std::size_t at = 0; at + rowBytes <= bytes.size(); at += rowBytes) {
+        load_row row;
+        row.tag = static_cast<std::uint32_t>(read(&bytes[at], 4));
+        row.openRequests = static_cast<std::uint16_t>(read(&bytes[at + 4], 2));
+        const auto last = static_cast<std::uint16_t>(read(&bytes[at + 6], 2));
+        row.slowness = last & (ejectedBit - 1U);
+        row.isEjected = (last & ejectedBit) != 0;
+        rows.push_back(row);
+    }
+    return rows;
+}
+
+endpoint endpointFrom(const json &value)
+{
+    const auto address = parseEndpoint(value.get<std::string>());
+    if (!address) {
+        refuse("not an address and port", value);
+    }
+    return *address;
+}
+
+json toJson(const host_record &host)
+{
+    return json::array({host.name, host.zone, toString(host.peerAddress), host.incarnation});
+}
+
+host_record hostFrom(const json &value)
+{
+    return host_record{value.at(0).get<std::string>(), value.at(1).get<std::string>(),
+                      endpointFrom(value.at(2)), value.at(3).get<std::uint64_t>()};
+}
+
+json toJson(const route_config &config)
+{
+    json routes = json::array();
+    for (const route &item : config.routes) {
+        json services = json::array();
+        for (const weighted_service &choice : item.services) {
+            services.push_back(json::array({choice.service, choice.weight}));
+        }
+        routes.push_back(json::array({item.name, item.address, item.port, std::move(services),
+                                      item.timeout.count(), item.aim.count(), item.priority}));
+    }
+    json services = json::array();
+    for (const service_limits &item : config.services) {
+        services.push_back(json::array(
+            {item.name, item.maxFlows, item.warmup.count(), item.coldRequestsPerSecond}));
+    }
+    return json::array({config.version, std::move(routes), std::move(services),
+                        config.idleTimeout.count()});
+}
+
+route_config configFrom(const json &value)
+{
+    route_config config;
+    config.version = value.at(0).get<std::uint64_t>();
+    for (const json &item : value.at(1)) {
+        route entry;
+        entry.name = item.at(0).get<std::string>();
+        entry.address = item.at(1).get<std::uint32_t>();
+        entry.port = item.at(2).get<std::uint16_t>();
+        for (const json &choice : item.at(3)) {
+            entry.services.push_back(
+                weighted_service{choice.at(0).get<std::string>(), choice.at(1).get<unsigned>()});
+        }
+        entry.timeout = milliseconds(item.at(4).get<std::int64_t>());
+        entry.aim = milliseconds(item.at(5).get<std::int64_t>());
+        entry.priority = item.at(6).get<unsigned>();
+        config.routes.push_back(std::move(entry));
+    }
+    for (const json &item : value.at(2)) {
+        config.services.push_back(service_limits{item.at(0).get<std::string>(),
+                                                 item.at(1).get<unsigned>(),
+                                                 milliseconds(item.at(2).get<std::int64_t>()),
+                                                 item.at(3).get<double>()});
+    }
+    config.idleTimeout = milliseconds(value.at(3).get<std::int64_t>());
+    return config;
+}
+
+json toJson(const upstream_record &entry)
+{
+    return json::array({toString(entry.address), entry.service, entry.zone, entry.slots,
+                        entry.isDraining, entry.coldFor.count(), entry.bornMs});
+}
+
+upstream_record upstreamFrom(std::uint64_t id, const json &value)
+{
+    upstream_record entry;
+    entry.id = id;
+    entry.address = endpointFrom(value.at(0));
+    entry.service = value.at(1).get<std::string>();
+    entry.zone = value.at(2).get<std::string>();
+    entry.slots = std::max(1U, value.at(3).get<unsigned>());
+    entry.isDraining = value.at(4).get<bool>();
+    entry.coldFor = milliseconds(value.at(5).get<std::int64_t>());
+    entry.bornMs = value.at(6).get<std::int64_t>();
+    return entry;
+}
+
+/// Turns the content of a change into JSON; its alternative is the first member.
+struct content_writer
+{
+    json operator()(const record_change::removed &) const { return nullptr; }
+    json operator()(const record_change::unreadable &content) const { return content.problem; }
+    json operator()(const route_config &content) const { return toJson(content); }
+    json operator()(const upstream_record &content) const { return toJson(content); }
+    json operator()(const zone_evacuation &) const { return nullptr; }
+    json operator()(const host_record &content) const { return toJson(content); }
+    json operator()(const shared_key &content) const
+    {
+        return json::binary_t({content.key.begin(), content.key.end()});
+    }
+};
+
+json toJson(const record_change &change)
+{
+    return json::array({static_cast<unsigned>(change.kind), change.name, change.upstreamId,
+                        change.revision, change.content.index(),
+                        std::visit(content_writer{}, change.content)});
+}
+
+record_change changeFrom(const json &value)
+{
+    record_change change;
+    const auto kind = value.at(0).get<unsigned>();
+    if (kind > static_cast<unsigned>(record_kind::key)) {
+        refuse("unknown kind of record", value);
+    }
+    change.kind = static_cast<record_kind>(kind);
+    change.name = value.at(1).get<std::string>();
+    change.upstreamId = value.at(2).get<std::uint64_t>();
+    change.revision = value.at(3).get<std::uint64_t>();
+    const json &content = value.at(5);
+    switch (value.at(4).get<std::size_t>()) {
+    case 0:
+        change.content = record_change::removed{};
+        break;
+    case 1:
+        change.content = record_change::unreadable{content.get<std::string>()};
+        break;
+    case 2:
+        change.content = configFrom(content);
+        break;
+    case 3:
+        change.content = upstreamFrom(change.upstreamId, content);
+        break;
+    case 4:
+        change.content = zone_evacuation{};
+        break;
+    case 5:
+        change.content = hostFrom(content);
+        break;
+    case 6: {
+        shared_key key;
+        const std::vector<std::uint8_t> &bytes = content.get_binary();
+        if (bytes.size() != key.key.size()) {
+            refuse("key of another size", value);
+        }
+        std::copy(bytes.begin(), bytes.end(), key.key.begin());
+        change.content = key;
+        break;
+    }
+    default:
+        refuse("unknown content", value);
+    }
+    return change;
+}
+
+struct message_writer
+{
+    json operator()(const peer_report &report) const
+    {
+        return json::array({reportKind, toJson(report.sender), report.sequence, report.isLeaving,
+                            report.viewRevision, report.viewAge.count(), report.configVersion,
+                            encodeRows(report.rows)});
+    }
+    json operator()(const view_changes &changes) const
+    {
+        json records = json::array();
+        for (const record_change &change : changes.records) {
+            records.push_back(toJson(change));
+        }
+        return json::array({changesKind, changes.after, changes.revision, changes.age.count(),
+                            changes.grace.count(), std::move(records)});
+    }
+    json operator()(const view_pull &pull) const
+    {
+        return json::array({pullKind, pull.after, toString(pull.replyTo)});
+    }
+};
+
+entry_message messageFrom(const json &value)
+{
+    switch (value.at(0).get<std::uint64_t>()) {
+    case reportKind: {
+        peer_report report;
+        report.sender = hostFrom(value.at(1));
+        report.sequence = value.at(2).get<std::uint64_t>();
+        report.isLeaving = value.at(3).get<bool>();
+        report.viewRevision = value.at(4).get<std::uint64_t>();
+        report.viewAge = milliseconds(value.at(5).get<std::int64_t>());
+        report.configVersion = value.at(6).get<std::uint64_t>();
+        report.rows = decodeRows(value.at(7).get_binary());
+        return report;
+    }
+    case changesKind: {
+        view_changes changes;
+        changes.after = value.at(1).get<std::uint64_t>();
+        changes.revision = value.at(2).get<std::uint64_t>();
+        changes.age = milliseconds(value.at(3).get<std::int64_t>());
+        changes.grace = milliseconds(value.at(4).get<std::int64_t>());
+        for (const json &item : value.at(5)) {
+            changes.records.push_back(changeFrom(item));
+        }
+        return changes;
+    }
+    case pullKind:
+        return view_pull{value.at(1).get<std::uint64_t>(), endpointFrom(value.at(2))};
+    default:
+        refuse("unknown kind of message", value);
+    }
+}
+
+} // namespace
+
+byte_buffer encodeEntryMessage(const peer_key &key, const entry_message &message)
+{
+    byte_buffer bytes = json::to_cbor(std::visit(message_writer{}, message));
+    signPeerDatagram(key, bytes);
+    return bytes;
+}
+
+leaf::result<entry_message> decodeEntryMessage(const peer_key &key, byte_view bytes)
+{
+    if (bytes.size() <= peerMacBytes || bytes.size() > mostEntryMessageBytes) {
+        return leaf::new_error(entry_message_error{"bad size"});
+    }
+    if (!peerDatagramIsAuthentic(key, bytes)) {
+        return leaf::new_error(entry_message_error{"wrong authentication code"});
+    }
+    const byte_view content = bytes.first(bytes.size() - peerMacBytes);
+    try {
+        return messageFrom(json::from_cbor(content.begin(), content.end()));
+    } catch (const json::exception &error) {
+        return leaf::new_error(entry_message_error{error.what()});
+    }
+}
+
+} // namespace figstair
--- a/tests/standins/judge.cpp
+++ b/tests/standins/judge.cpp
@@ -8,7 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "figstair/platform/http_client.h"
+#include "figstair/store/http_client.h"
 #include "standin_tools.h"
 
 #include <boost/leaf.hpp>
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -10,7 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "figstair/host/asio_endpoint.h"
-#include "figstair/platform/base64.h"
+#include "figstair/store/base64.h"
 #include "standin_tools.h"
 
 namespace asio = boost::asio;
--- a/tests/platform/table_store_test.cpp
+++ b/tests/store/table_store_test.cpp
@@ -1,4 +1,4 @@
-#include "figstair/platform/table_store.h"
+#include "figstair/store/table_store.h"
 
 #include <map>
 
