--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -98,6 +98,7 @@
     void releaseHeld();
     void sweepFlows();
     void judgeSilence(upstream_index upstream, const flow_id &flow, std::string_view what);
+    bool isRotationSteady() const;
     unsigned coldPerSecond(const std::string &service) const;
     flow_record &remember(const flow_id &flow);
     std::string describe(const flow_id &flow) const;
@@ -115,6 +116,7 @@
     held_flows m_held;
     service_times m_times;
     std::deque<pending_answer> m_pending;
+    monotonic_time m_startedAt;
     monotonic_time m_nextSweep{};
     monotonic_time m_lastPacketAt{};
     monotonic_time m_ignoreSilenceUntil{};
--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/peer_roster.h
@@ -18,6 +18,7 @@
         monotonic_time heardAt{}; ///< zero: never
         bool isListed = false; ///< the store names it
         bool isLeaving = false;
+        bool wasAlive = false; ///< at the last look
     };
 
     explicit peer_roster(host_record self);
@@ -51,12 +52,16 @@
     /// Number of live hosts that rendezvous hashing ranks before this one for @p key.
     unsigned rankOf(std::uint64_t key, monotonic_time now) const;
 
+    /// When a host was last seen to come, to leave, or to fall silent.
+    monotonic_time changedAt() const { return m_changedAt; }
+
     const host_record &self() const { return m_self; }
     const std::map<std::string, peer> &peers() const { return m_peers; }
 
 private:
     host_record m_self;
     std::map<std::string, peer> m_peers;
+    monotonic_time m_changedAt{};
 };
 
 } // namespace figstair
--- a/include/figstair/core/upstream_health.h
+++ b/include/figstair/core/upstream_health.h
@@ -27,8 +27,9 @@
     /// A caller acknowledged something new from the upstream.
     void onAnswered(upstream_index upstream, monotonic_time now);
 
-    /// A flow got no answer in time.
-    void onSilence(upstream_index upstream, monotonic_time now);
+    /// A flow got no answer in time. @p needed: how many of these in a row, without any answer in
+    /// between, count as one piece of evidence.
+    void onSilence(upstream_index upstream, monotonic_time now, unsigned needed);
 
     /// Another host ejected the upstream. @p ownsTrials: it is on this host to try it.
     void onReported(upstream_index upstream, bool ownsTrials, monotonic_time now);
@@ -66,6 +67,7 @@
         monotonic_time lastAnswer{};
         monotonic_time nextTrial{};
         milliseconds backoff{0};
+        unsigned silences = 0; ///< in a row
     };
 
     record &at(upstream_index upstream);
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -47,6 +47,13 @@
 constexpr std::size_t mostReportTargets = 32;
 constexpr std::size_t otherZoneTargets = 4;
 
+/// After a host came or went, the platform sends the packets of open flows by way of other hosts: two
+/// readiness checks, half a second apart, pass until all of them follow.
+constexpr milliseconds rotationSettleTime{1600};
+
+/// Meanwhile a handshake that seems unanswered was mostly acknowledged through another host.
+constexpr unsigned silencesWhileUnsteady = 5;
+
 /// Slowness beyond which a sample is logged.
 constexpr double noteworthyRatio = 4.0;
 
@@ -88,6 +95,7 @@
     , m_placer(m_directory, m_loads, m_health, m_roster, seed)
     , m_flows(settings.maxFlows)
     , m_held(heldCapacity)
+    , m_startedAt(clock.monotonic())
 {
 }
 
@@ -324,6 +332,8 @@
         record.awaitsAnswer = true;
         m_loads.addOpen(upstream);
     }
+    // The tag came back from the upstream, so it answered lately.
+    m_health.onAnswered(upstream, now);
     m_output.count(entry_counter::flowsAdopted, 1);
 }
 
@@ -375,7 +385,8 @@
 void entry_core::judgeSilence(upstream_index upstream, const flow_id &flow, std::string_view what)
 {
     const bool wasEjected = m_health.isEjected(upstream);
-    m_health.onSilence(upstream, m_clock.monotonic());
+    const monotonic_time now = m_clock.monotonic();
+    m_health.onSilence(upstream, now, isRotationSteady() ? 1 : silencesWhileUnsteady);
     const bool isEjected = m_health.isEjected(upstream);
     m_output.logEvent("upstream_silent", {{"flow", toText(flow)},
                                           {"upstream", hexText(m_directory.at(upstream).entry.id)},
@@ -386,6 +397,12 @@
     }
 }
 
+bool entry_core::isRotationSteady() const
+{
+    const monotonic_time now = m_clock.monotonic();
+    return now - std::max(m_startedAt, m_roster.changedAt()) >= rotationSettleTime;
+}
+
 void entry_core::repeatUnanswered(const pending_answer &pending)
 {
     flow_record *record = m_flows.find(pending.flow);
@@ -398,6 +415,9 @@
         return;
     }
     judgeSilence(record->upstream, pending.flow, "opening_unanswered");
+    if (!isRotationSteady()) {
+        return; // the answer may have been acknowledged through another host
+    }
     const route *route = m_routes.find(pending.flow);
     if (record->wasRepeated || route == nullptr) {
         return; // the caller's own copies go on
--- a/src/core/peer_roster.cpp
+++ b/src/core/peer_roster.cpp
@@ -63,6 +63,11 @@
     if (host.incarnation < known.entry.incarnation) {
         return false;
     }
+    if (!known.wasAlive || known.entry.incarnation != host.incarnation
+        || known.isLeaving != isLeaving) {
+        m_changedAt = now;
+    }
+    known.wasAlive = true;
     known.entry = host;
     known.heardAt = now;
     known.isLeaving = isLeaving;
@@ -72,6 +77,10 @@
 void peer_roster::advance(monotonic_time now)
 {
     for (auto item = m_peers.begin(); item != m_peers.end();) {
+        if (item->second.wasAlive && !isAlive(item->second, now)) {
+            item->second.wasAlive = false;
+            m_changedAt = now;
+        }
         const bool isForgotten = !item->second.isListed && now - item->second.heardAt > memoryTime;
         item = isForgotten ? m_peers.erase(item) : std::next(item);
     }
--- a/src/core/upstream_health.cpp
+++ b/src/core/upstream_health.cpp
@@ -82,16 +82,21 @@
 {
     record &item = at(upstream);
     item.lastAnswer = now;
+    item.silences = 0;
     if (!item.isPlain) {
         rest(item, now);
         fire(item, "answered", now);
     }
 }
 
-void upstream_health::onSilence(upstream_index upstream, monotonic_time now)
+void upstream_health::onSilence(upstream_index upstream, monotonic_time now, unsigned needed)
 {
     record &item = at(upstream);
     rest(item, now);
+    if (++item.silences < needed) {
+        return;
+    }
+    item.silences = 0;
     fire(item, "silence", now);
 }
 
