--- a/include/figstair/core/flow_table.h
+++ b/include/figstair/core/flow_table.h
@@ -30,6 +30,7 @@
     std::uint32_t acknowledgedAtRequest = 0;
     std::uint32_t lastDataSequence = 0;
     bool hasSentData = false;
+    bool isLate = false; ///< the caller had to repeat its opening packet
     monotonic_time openedAt{}; ///< when its opening packet was sent on
     monotonic_time requestAt{}; ///< when the request that waits for an answer was sent on
     monotonic_time lastPacketAt{};
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -18,9 +18,14 @@
 constexpr std::size_t heldCapacity = 256;
 
 /// Share of a route's time aim that a request may spend at an upstream, waiting included.
-constexpr double upstreamShareOfAim = 0.75;
+constexpr double upstreamShareOfAim = 0.5;
 constexpr double leastQueueFactor = 1.25;
-constexpr double mostQueueFactor = 3.0;
+constexpr double mostQueueFactor = 2.5;
+
+/// Flows whose caller had to repeat the opening packet have missed their aim or are about to: they get
+/// free slots only, and are served after those that can still be in time.
+constexpr double lateQueueFactor = 1.0;
+constexpr unsigned latePriority = 1000;
 constexpr milliseconds defaultAim{250};
 
 /// A request without any packet for this long no longer counts as work of its upstream.
@@ -177,6 +182,8 @@
         settle(record);
         record.earlier = record.upstream;
     }
+    // A copy of the opening packet carries its number where others carry what they acknowledge.
+    record.isLate = packet.acknowledged != 0;
     place(packet.flow, *route, bytes, true);
 }
 
@@ -187,9 +194,10 @@
     const std::string &service = m_routes.serviceFor(route, flow);
     const milliseconds aim = route.aim.count() > 0 ? route.aim : defaultAim;
     const double expected = std::max(1.0, double(m_times.expected(flow).count()));
-    const double queueFactor
-        = std::clamp(double(aim.count()) * upstreamShareOfAim / expected, leastQueueFactor,
-                     mostQueueFactor);
+    const double inTime = std::clamp(double(aim.count()) * upstreamShareOfAim / expected,
+                                     leastQueueFactor, mostQueueFactor);
+    // A flow that is late in any case must not take the time of one that is not yet.
+    const double queueFactor = record.isLate ? lateQueueFactor : inTime;
     const placement_result choice = m_placer.choose(
         placement_request{service, coldPerSecond(service), queueFactor, record.earlier}, now);
     if (choice.outcome == placement_outcome::placed) {
@@ -202,7 +210,7 @@
                        milliseconds(static_cast<std::int64_t>(double(aim.count()) * holdShareOfAim)));
         record.phase = flow_phase::waiting;
         const auto dropped = m_held.push(
-            route.priority, held_flow{flow, {bytes.begin(), bytes.end()}, now, now + hold});
+            record.isLate ? latePriority + route.priority : route.priority, held_flow{flow, {bytes.begin(), bytes.end()}, now, now + hold});
         m_output.count(entry_counter::flowsHeld, 1);
         if (dropped) {
             m_flows.erase(dropped->flow);
@@ -416,7 +424,9 @@
     }
     judgeSilence(record->upstream, pending.flow, "opening_unanswered");
     if (!isRotationSteady()) {
-        return; // the answer may have been acknowledged through another host
+        // The flow most likely goes on through another host, which counts it from now on.
+        settle(*record);
+        return;
     }
     const route *route = m_routes.find(pending.flow);
     if (record->wasRepeated || route == nullptr) {
