Put held flows back when no upstream has room, and stop counting flows that moved

Cause: after all hosts lost power, each release try threw one held flow away; requests whose flow moved to another host or whose caller gave up stayed counted as open for 3 to 4 s, so that all upstreams seemed full. Change: tryPlace() returns its outcome, held flows are tried at most 8 at a time and put back; unanswered openings and requests idle for 8 times the expected time are no longer counted.

--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -88,7 +88,11 @@
     void onOpening(const flow_packet &packet, byte_view bytes);
     void onLater(const flow_packet &packet, byte_view bytes);
     void adopt(const flow_packet &packet, flow_record &record, upstream_index upstream);
-    void place(const flow_id &flow, const route &route, byte_view bytes, bool mayHold);
+    placement_outcome tryPlace(const flow_id &flow, flow_record &record, const route &route,
+                               byte_view bytes);
+    void hold(const flow_id &flow, flow_record &record, const route &route, byte_view bytes);
+    void keepHeld(held_flow item);
+    void refuse(const flow_id &flow, const char *reason);
     void sendOpening(const flow_id &flow, flow_record &record, byte_view bytes,
                      const placement_result &choice);
     void noteAnswer(const flow_packet &packet, flow_record &record);
@@ -101,7 +105,6 @@
     bool isRotationSteady() const;
     unsigned coldPerSecond(const std::string &service) const;
     flow_record &remember(const flow_id &flow);
-    std::string describe(const flow_id &flow) const;
 
     entry_settings m_settings;
     const clock_source &m_clock;
@@ -118,6 +121,7 @@
     std::deque<pending_answer> m_pending;
     monotonic_time m_startedAt;
     monotonic_time m_nextSweep{};
+    monotonic_time m_nextRelease{};
     monotonic_time m_lastPacketAt{};
     monotonic_time m_ignoreSilenceUntil{};
     std::uint64_t m_reportSequence = 0;
--- a/include/figstair/core/held_flows.h
+++ b/include/figstair/core/held_flows.h
@@ -17,6 +17,7 @@
 {
     flow_id flow;
     std::vector<std::uint8_t> packet;
+    unsigned priority = 0; ///< 0 is served first
     monotonic_time since{};
     monotonic_time until{};
 };
@@ -31,31 +32,22 @@
     explicit held_flows(std::size_t capacity);
 
     /// Returns the flow that found no room: @p item itself, or one of a caller with more waiting.
-    std::optional<held_flow> push(unsigned priority, held_flow item);
+    std::optional<held_flow> push(held_flow item);
 
     /// Takes the next flow in the order of priority whose time is not over at @p now. Those whose time
     /// is over go to @p late.
     std::optional<held_flow> pop(monotonic_time now, std::vector<held_flow> &late);
 
-    /// Takes out all flows whose time is over.
-    void expire(monotonic_time now, std::vector<held_flow> &late);
-
     bool isEmpty() const { return m_items.empty(); }
     std::size_t size() const { return m_items.size(); }
 
 private:
-    struct waiting
-    {
-        held_flow item;
-        unsigned priority = 0;
-    };
-
     held_flow take(std::uint64_t number);
 
     std::size_t m_capacity;
     std::uint64_t m_nextNumber = 0;
     std::map<unsigned, fair_queue> m_queues;
-    std::map<std::uint64_t, waiting> m_items;
+    std::map<std::uint64_t, held_flow> m_items;
 };
 
 } // namespace figstair
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -17,6 +17,11 @@
 /// Flows held for each priority: one second's arrivals at a host under the greatest load expected.
 constexpr std::size_t heldCapacity = 256;
 
+/// Held flows tried at once, and the distance of tries: an upstream's slot falls free every few
+/// milliseconds.
+constexpr std::size_t heldPerRelease = 8;
+constexpr milliseconds releaseInterval{5};
+
 /// Share of a route's time aim that a request may spend at an upstream, waiting included.
 constexpr double upstreamShareOfAim = 0.5;
 constexpr double leastQueueFactor = 1.25;
@@ -28,14 +33,17 @@
 constexpr unsigned latePriority = 1000;
 constexpr milliseconds defaultAim{250};
 
-/// A request without any packet for this long no longer counts as work of its upstream.
-constexpr milliseconds idleRequestTime{4000};
+/// A request without any packet for this many times its expected time no longer counts as work of its
+/// upstream: its caller has given up, or the flow goes on through another host.
+constexpr int idleOverExpected = 8;
+constexpr milliseconds leastIdleTime{400};
+constexpr milliseconds mostIdleTime{4000};
 
 /// Closed flows stay for late packets of both ends.
 constexpr milliseconds closedFlowTime{3000};
 
 /// Flows looked at by one sweep, and the distance of sweeps.
-constexpr std::size_t flowsPerSweep = 64;
+constexpr std::size_t flowsPerSweep = 256;
 constexpr milliseconds sweepInterval{100};
 
 /// Data sent again sooner than this is a doubled packet, not a retransmission.
@@ -62,6 +70,11 @@
 /// Slowness beyond which a sample is logged.
 constexpr double noteworthyRatio = 4.0;
 
+milliseconds aimOf(const route &route)
+{
+    return route.aim.count() > 0 ? route.aim : defaultAim;
+}
+
 std::string toText(milliseconds value)
 {
     return std::to_string(value.count());
@@ -156,12 +169,7 @@
     const route *route = m_routes.find(packet.flow);
     if (route == nullptr) {
         m_output.count(entry_counter::packetsWithoutRoute, 1);
-        m_output.count(entry_counter::flowsReset, 1);
-        m_output.logEvent("flow_refused",
-                          {{"flow", toText(packet.flow)},
-                           {"reason", "no_route"},
-                           {"config", std::to_string(configVersion())}});
-        m_output.reset(packet.flow, packet.acknowledged);
+        refuse(packet.flow, "no_route");
         return;
     }
     const monotonic_time now = m_clock.monotonic();
@@ -184,56 +192,73 @@
     }
     // A copy of the opening packet carries its number where others carry what they acknowledge.
     record.isLate = packet.acknowledged != 0;
-    place(packet.flow, *route, bytes, true);
+    switch (tryPlace(packet.flow, record, *route, bytes)) {
+    case placement_outcome::placed:
+        break;
+    case placement_outcome::saturated:
+        hold(packet.flow, record, *route, bytes);
+        break;
+    case placement_outcome::noneUsable:
+        refuse(packet.flow, "no_upstream");
+        break;
+    }
 }
 
-void entry_core::place(const flow_id &flow, const route &route, byte_view bytes, bool mayHold)
+placement_outcome entry_core::tryPlace(const flow_id &flow, flow_record &record,
+                                       const route &route, byte_view bytes)
 {
-    const monotonic_time now = m_clock.monotonic();
-    flow_record &record = remember(flow);
     const std::string &service = m_routes.serviceFor(route, flow);
-    const milliseconds aim = route.aim.count() > 0 ? route.aim : defaultAim;
     const double expected = std::max(1.0, double(m_times.expected(flow).count()));
-    const double inTime = std::clamp(double(aim.count()) * upstreamShareOfAim / expected,
+    const double inTime = std::clamp(double(aimOf(route).count()) * upstreamShareOfAim / expected,
                                      leastQueueFactor, mostQueueFactor);
     // A flow that is late in any case must not take the time of one that is not yet.
     const double queueFactor = record.isLate ? lateQueueFactor : inTime;
     const placement_result choice = m_placer.choose(
-        placement_request{service, coldPerSecond(service), queueFactor, record.earlier}, now);
+        placement_request{service, coldPerSecond(service), queueFactor, record.earlier},
+        m_clock.monotonic());
     if (choice.outcome == placement_outcome::placed) {
         sendOpening(flow, record, bytes, choice);
-        return;
-    }
-    if (choice.outcome == placement_outcome::saturated && mayHold) {
-        const milliseconds hold
-            = std::min(longestHold,
-                       milliseconds(static_cast<std::int64_t>(double(aim.count()) * holdShareOfAim)));
-        record.phase = flow_phase::waiting;
-        const auto dropped = m_held.push(
-            record.isLate ? latePriority + route.priority : route.priority, held_flow{flow, {bytes.begin(), bytes.end()}, now, now + hold});
-        m_output.count(entry_counter::flowsHeld, 1);
-        if (dropped) {
-            m_flows.erase(dropped->flow);
-            m_output.count(entry_counter::flowsDropped, 1);
-            m_output.logEvent("flow_dropped", {{"flow", toText(dropped->flow)},
-                                               {"reason", "too_many_held"},
-                                               {"held", std::to_string(m_held.size())}});
-        }
-        return;
     }
-    m_flows.erase(flow);
-    if (choice.outcome == placement_outcome::noneUsable) {
-        m_output.count(entry_counter::flowsReset, 1);
-        m_output.logEvent("flow_refused", {{"flow", toText(flow)},
-                                           {"reason", std::string(choice.reason)},
-                                           {"service", service},
-                                           {"config", std::to_string(configVersion())}});
-        m_output.reset(flow, 0);
-    } else {
+    return choice.outcome;
+}
+
+void entry_core::hold(const flow_id &flow, flow_record &record, const route &route,
+                      byte_view bytes)
+{
+    const monotonic_time now = m_clock.monotonic();
+    const milliseconds time
+        = std::min(longestHold, milliseconds(static_cast<std::int64_t>(
+                                    double(aimOf(route).count()) * holdShareOfAim)));
+    record.phase = flow_phase::waiting;
+    m_output.count(entry_counter::flowsHeld, 1);
+    keepHeld(held_flow{flow,
+                       {bytes.begin(), bytes.end()},
+                       record.isLate ? latePriority + route.priority : route.priority,
+                       now,
+                       now + time});
+}
+
+void entry_core::keepHeld(held_flow item)
+{
+    if (const auto dropped = m_held.push(std::move(item))) {
+        m_flows.erase(dropped->flow);
         m_output.count(entry_counter::flowsDropped, 1);
+        m_output.logEvent("flow_dropped", {{"flow", toText(dropped->flow)},
+                                           {"reason", "too_many_held"},
+                                           {"held", std::to_string(m_held.size())}});
     }
 }
 
+void entry_core::refuse(const flow_id &flow, const char *reason)
+{
+    m_flows.erase(flow);
+    m_output.count(entry_counter::flowsReset, 1);
+    m_output.logEvent("flow_refused", {{"flow", toText(flow)},
+                                       {"reason", reason},
+                                       {"config", std::to_string(configVersion())}});
+    m_output.reset(flow, 0);
+}
+
 void entry_core::sendOpening(const flow_id &flow, flow_record &record, byte_view bytes,
                              const placement_result &choice)
 {
@@ -321,7 +346,8 @@
         settle(*record);
         record->phase = flow_phase::closed;
     }
-    if (!m_held.isEmpty()) {
+    if (!m_held.isEmpty() && now >= m_nextRelease) {
+        m_nextRelease = now + releaseInterval;
         releaseHeld();
     }
 }
@@ -428,34 +454,46 @@
         settle(*record);
         return;
     }
+    settle(*record);
     const route *route = m_routes.find(pending.flow);
     if (record->wasRepeated || route == nullptr) {
         return; // the caller's own copies go on
     }
-    settle(*record);
     record->wasRepeated = true;
     record->earlier = record->upstream;
-    m_output.count(entry_counter::flowsRepeated, 1);
-    place(pending.flow, *route, pending.opening, false);
+    if (tryPlace(pending.flow, *record, *route, pending.opening) == placement_outcome::placed) {
+        m_output.count(entry_counter::flowsRepeated, 1);
+    }
 }
 
 void entry_core::releaseHeld()
 {
     const monotonic_time now = m_clock.monotonic();
     std::vector<held_flow> late;
-    while (std::optional<held_flow> next = m_held.pop(now, late)) {
+    std::vector<held_flow> kept;
+    for (std::size_t step = 0; step < heldPerRelease; ++step) {
+        std::optional<held_flow> next = m_held.pop(now, late);
+        if (!next) {
+            break;
+        }
         const route *route = m_routes.find(next->flow);
+        flow_record *record = m_flows.find(next->flow);
         if (route == nullptr) {
-            m_flows.erase(next->flow);
-            m_output.reset(next->flow, 0);
-            continue;
-        }
-        place(next->flow, *route, next->packet, false);
-        const flow_record *record = m_flows.find(next->flow);
-        if (record == nullptr) {
-            break;
+            refuse(next->flow, "no_route");
+        } else if (record != nullptr && record->phase == flow_phase::waiting) {
+            const placement_outcome outcome
+                = tryPlace(next->flow, *record, *route, next->packet);
+            if (outcome == placement_outcome::placed) {
+                m_output.observe(entry_distribution::held, now - next->since);
+            } else if (outcome == placement_outcome::saturated) {
+                kept.push_back(std::move(*next));
+            } else {
+                refuse(next->flow, "no_upstream");
+            }
         }
-        m_output.observe(entry_distribution::held, now - next->since);
+    }
+    for (held_flow &item : kept) {
+        keepHeld(std::move(item));
     }
     for (const held_flow &item : late) {
         m_flows.erase(item.flow);
@@ -471,7 +509,8 @@
         m_pending.pop_front();
         repeatUnanswered(pending);
     }
-    if (!m_held.isEmpty()) {
+    if (!m_held.isEmpty() && now >= m_nextRelease) {
+        m_nextRelease = now + releaseInterval;
         releaseHeld();
     }
     if (now >= m_nextSweep) {
@@ -490,9 +529,11 @@
 void entry_core::sweepFlows()
 {
     const monotonic_time now = m_clock.monotonic();
-    m_flows.sweep(flowsPerSweep, [&](const flow_id &, flow_record &record) {
+    m_flows.sweep(flowsPerSweep, [&](const flow_id &flow, flow_record &record) {
         const milliseconds idle = now - record.lastPacketAt;
-        if (record.phase != flow_phase::waiting && idle > idleRequestTime) {
+        if (record.awaitsAnswer
+            && idle > std::clamp(m_times.expected(flow) * idleOverExpected, leastIdleTime,
+                                 mostIdleTime)) {
             settle(record);
         }
         if (record.phase == flow_phase::closed || record.phase == flow_phase::opening) {
@@ -516,6 +557,9 @@
     if (!m_pending.empty()) {
         next = std::min(next, m_pending.front().due);
     }
+    if (!m_held.isEmpty()) {
+        next = std::min(next, m_nextRelease);
+    }
     return next;
 }
 
--- a/src/core/held_flows.cpp
+++ b/src/core/held_flows.cpp
@@ -10,17 +10,17 @@
 held_flow held_flows::take(std::uint64_t number)
 {
     const auto found = m_items.find(number);
-    held_flow item = std::move(found->second.item);
+    held_flow item = std::move(found->second);
     m_items.erase(found);
     return item;
 }
 
-std::optional<held_flow> held_flows::push(unsigned priority, held_flow item)
+std::optional<held_flow> held_flows::push(held_flow item)
 {
-    fair_queue &queue = m_queues.try_emplace(priority, m_capacity).first->second;
+    fair_queue &queue = m_queues.try_emplace(item.priority, m_capacity).first->second;
     const std::uint64_t number = m_nextNumber++;
     const std::uint64_t caller = item.flow.callerAddress;
-    m_items.emplace(number, waiting{std::move(item), priority});
+    m_items.emplace(number, std::move(item));
     const std::optional<std::uint64_t> dropped = queue.push(caller, number);
     if (!dropped) {
         return std::nullopt;
@@ -42,19 +42,4 @@
     return std::nullopt;
 }
 
-void held_flows::expire(monotonic_time now, std::vector<held_flow> &late)
-{
-    std::vector<std::uint64_t> over;
-    for (const auto &[number, entry] : m_items) {
-        if (entry.item.until <= now) {
-            over.push_back(number);
-        }
-    }
-    for (const std::uint64_t number : over) {
-        const waiting &entry = m_items.at(number);
-        m_queues.at(entry.priority).remove(entry.item.flow.callerAddress, number);
-        late.push_back(take(number));
-    }
-}
-
 } // namespace figstair
