--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -39,12 +39,17 @@
 constexpr milliseconds leastIdleTime{400};
 constexpr milliseconds mostIdleTime{4000};
 
+/// The same while flows move between hosts: most that are idle here go on elsewhere, where they are
+/// counted too.
+constexpr int idleOverExpectedUnsteady = 3;
+constexpr milliseconds leastIdleTimeUnsteady{60};
+
 /// Closed flows stay for late packets of both ends.
 constexpr milliseconds closedFlowTime{3000};
 
 /// Flows looked at by one sweep, and the distance of sweeps.
 constexpr std::size_t flowsPerSweep = 256;
-constexpr milliseconds sweepInterval{100};
+constexpr milliseconds sweepInterval{40};
 
 /// Data sent again sooner than this is a doubled packet, not a retransmission.
 constexpr milliseconds leastRetransmission{100};
@@ -529,11 +534,13 @@
 void entry_core::sweepFlows()
 {
     const monotonic_time now = m_clock.monotonic();
+    const bool isSteady = isRotationSteady();
+    const int factor = isSteady ? idleOverExpected : idleOverExpectedUnsteady;
+    const milliseconds least = isSteady ? leastIdleTime : leastIdleTimeUnsteady;
     m_flows.sweep(flowsPerSweep, [&](const flow_id &flow, flow_record &record) {
         const milliseconds idle = now - record.lastPacketAt;
         if (record.awaitsAnswer
-            && idle > std::clamp(m_times.expected(flow) * idleOverExpected, leastIdleTime,
-                                 mostIdleTime)) {
+            && idle > std::clamp(m_times.expected(flow) * factor, least, mostIdleTime)) {
             settle(record);
         }
         if (record.phase == flow_phase::closed || record.phase == flow_phase::opening) {
