--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -102,6 +102,8 @@
     void releaseHeld();
     void sweepFlows();
     void judgeSilence(upstream_index upstream, const flow_id &flow, std::string_view what);
+    milliseconds aimOf(const flow_id &flow) const;
+    milliseconds expectedTime(const flow_id &flow) const;
     bool isRotationSteady() const;
     unsigned coldPerSecond(const std::string &service) const;
     flow_record &remember(const flow_id &flow);
--- a/include/figstair/core/service_times.h
+++ b/include/figstair/core/service_times.h
@@ -14,20 +14,26 @@
 class service_times
 {
 public:
-    /// One request on the route of @p flow took @p time, with @p fill open requests for each slot.
-    /// Returns the ratio of its time to the one expected.
-    double onAnswer(const flow_id &flow, milliseconds time, double fill);
+    /// One request on the route of @p flow, which states @p aim, took @p time with @p fill open
+    /// requests for each slot. Returns the ratio of its time to the one expected.
+    double onAnswer(const flow_id &flow, milliseconds time, milliseconds aim, double fill);
 
     void onHandshake(milliseconds time);
 
     /// Mean time to the first answer on the route of @p flow, at an upstream with a free slot.
-    milliseconds expected(const flow_id &flow) const;
+    milliseconds expected(const flow_id &flow, milliseconds aim) const;
 
     /// How long to wait for the answer to an opening packet before it goes to another upstream.
     milliseconds handshakeTimeout() const;
 
 private:
-    boost::unordered_flat_map<std::uint64_t, double> m_meanMs;
+    struct mean
+    {
+        double ms = 0;
+        unsigned samples = 0;
+    };
+
+    boost::unordered_flat_map<std::uint64_t, mean> m_means;
     double m_handshakeMs = 0;
 };
 
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -27,9 +27,9 @@
 constexpr double leastQueueFactor = 1.25;
 constexpr double mostQueueFactor = 2.5;
 
-/// Flows whose caller had to repeat the opening packet have missed their aim or are about to: they get
-/// free slots only, and are served after those that can still be in time.
-constexpr double lateQueueFactor = 1.0;
+/// Flows whose caller had to repeat the opening packet have missed their aim or are about to: they wait
+/// in shorter queues, and are served after those that can still be in time.
+constexpr double lateQueueFactor = 1.5;
 constexpr unsigned latePriority = 1000;
 constexpr milliseconds defaultAim{250};
 
@@ -75,11 +75,6 @@
 /// Slowness beyond which a sample is logged.
 constexpr double noteworthyRatio = 4.0;
 
-milliseconds aimOf(const route &route)
-{
-    return route.aim.count() > 0 ? route.aim : defaultAim;
-}
-
 std::string toText(milliseconds value)
 {
     return std::to_string(value.count());
@@ -132,6 +127,17 @@
     return m_flows.insert(flow, [this](flow_record &forgotten) { settle(forgotten); });
 }
 
+milliseconds entry_core::aimOf(const flow_id &flow) const
+{
+    const route *route = m_routes.find(flow);
+    return route != nullptr && route->aim.count() > 0 ? route->aim : defaultAim;
+}
+
+milliseconds entry_core::expectedTime(const flow_id &flow) const
+{
+    return m_times.expected(flow, aimOf(flow));
+}
+
 void entry_core::settle(flow_record &record)
 {
     if (record.awaitsAnswer) {
@@ -213,8 +219,8 @@
                                        const route &route, byte_view bytes)
 {
     const std::string &service = m_routes.serviceFor(route, flow);
-    const double expected = std::max(1.0, double(m_times.expected(flow).count()));
-    const double inTime = std::clamp(double(aimOf(route).count()) * upstreamShareOfAim / expected,
+    const double expected = std::max(1.0, double(expectedTime(flow).count()));
+    const double inTime = std::clamp(double(aimOf(flow).count()) * upstreamShareOfAim / expected,
                                      leastQueueFactor, mostQueueFactor);
     // A flow that is late in any case must not take the time of one that is not yet.
     const double queueFactor = record.isLate ? lateQueueFactor : inTime;
@@ -233,9 +239,14 @@
     const monotonic_time now = m_clock.monotonic();
     const milliseconds time
         = std::min(longestHold, milliseconds(static_cast<std::int64_t>(
-                                    double(aimOf(route).count()) * holdShareOfAim)));
+                                    double(aimOf(flow).count()) * holdShareOfAim)));
     record.phase = flow_phase::waiting;
     m_output.count(entry_counter::flowsHeld, 1);
+    m_output.logEvent("flow_held", {{"flow", toText(flow)},
+                                    {"route", route.name},
+                                    {"copy", record.isLate ? "1" : "0"},
+                                    {"held", std::to_string(m_held.size())},
+                                    {"most_ms", toText(time)}});
     keepHeld(held_flow{flow,
                        {bytes.begin(), bytes.end()},
                        record.isLate ? latePriority + route.priority : route.priority,
@@ -294,6 +305,8 @@
                        {"reason", std::string(choice.reason)},
                        {"open", std::to_string(open)},
                        {"own_open", std::to_string(m_loads.ownOpen(choice.upstream))},
+                       {"copy", record.isLate ? "1" : "0"},
+                       {"repeat", record.wasRepeated ? "1" : "0"},
                        {"entry_revision", std::to_string(upstream.revision)},
                        {"config", std::to_string(configVersion())}});
     m_output.forward(bytes, upstream);
@@ -385,14 +398,14 @@
     const monotonic_time now = m_clock.monotonic();
     const milliseconds time = now - record.requestAt;
     m_health.onAnswered(record.upstream, now);
-    const double ratio = m_times.onAnswer(packet.flow, time, record.expectedFill);
+    const double ratio = m_times.onAnswer(packet.flow, time, aimOf(packet.flow), record.expectedFill);
     m_loads.onServed(record.upstream, ratio, now);
     m_output.observe(entry_distribution::firstAnswer, time);
     if (ratio >= noteworthyRatio) {
         m_output.logEvent("answer_slow", {{"flow", toText(packet.flow)},
                                           {"upstream", hexText(m_directory.at(record.upstream).entry.id)},
                                           {"ms", toText(time)},
-                                          {"expected_ms", toText(m_times.expected(packet.flow))}});
+                                          {"expected_ms", toText(expectedTime(packet.flow))}});
     }
     settle(record);
 }
@@ -503,6 +516,9 @@
     for (const held_flow &item : late) {
         m_flows.erase(item.flow);
         m_output.count(entry_counter::flowsHeldTooLong, 1);
+        m_output.logEvent("flow_dropped", {{"flow", toText(item.flow)},
+                                           {"reason", "held_too_long"},
+                                           {"held_ms", toText(now - item.since)}});
     }
 }
 
@@ -540,7 +556,7 @@
     m_flows.sweep(flowsPerSweep, [&](const flow_id &flow, flow_record &record) {
         const milliseconds idle = now - record.lastPacketAt;
         if (record.awaitsAnswer
-            && idle > std::clamp(m_times.expected(flow) * factor, least, mostIdleTime)) {
+            && idle > std::clamp(expectedTime(flow) * factor, least, mostIdleTime)) {
             settle(record);
         }
         if (record.phase == flow_phase::closed || record.phase == flow_phase::opening) {
--- a/src/core/service_times.cpp
+++ b/src/core/service_times.cpp
@@ -6,11 +6,13 @@
 namespace figstair {
 namespace {
 
-constexpr double meanWeight = 0.03;
+/// The first samples count as in a plain mean, later ones with this weight.
+constexpr double leastMeanWeight = 0.03;
 constexpr double handshakeWeight = 0.05;
 
-/// Assumed until something was measured: a common time of a small request.
-constexpr double firstGuessMs = 60.0;
+/// Assumed until something was measured, as a share of the route's aim: operators set aims with room
+/// for queueing and for slow requests.
+constexpr double firstGuessOfAim = 0.25;
 
 /// One sample moves the mean by at most this factor: an upstream that turned slow must not make its
 /// time the expected one.
@@ -30,12 +32,16 @@
 
 } // namespace
 
-double service_times::onAnswer(const flow_id &flow, milliseconds time, double fill)
+double service_times::onAnswer(const flow_id &flow, milliseconds time, milliseconds aim,
+                               double fill)
 {
-    const auto [slot, isNew] = m_meanMs.try_emplace(routeKey(flow), firstGuessMs);
+    const auto [slot, isNew]
+        = m_means.try_emplace(routeKey(flow), mean{firstGuessOfAim * double(aim.count()), 1});
+    mean &known = slot->second;
     const double sample = static_cast<double>(time.count()) / std::max(1.0, fill);
-    const double ratio = sample / std::max(1.0, slot->second);
-    slot->second += meanWeight * (std::min(sample, slot->second * mostOverMean) - slot->second);
+    const double ratio = sample / std::max(1.0, known.ms);
+    const double weight = std::max(leastMeanWeight, 1.0 / ++known.samples);
+    known.ms += weight * (std::min(sample, known.ms * mostOverMean) - known.ms);
     return ratio;
 }
 
@@ -46,10 +52,11 @@
                                        : m_handshakeMs + handshakeWeight * (sample - m_handshakeMs);
 }
 
-milliseconds service_times::expected(const flow_id &flow) const
+milliseconds service_times::expected(const flow_id &flow, milliseconds aim) const
 {
-    const auto found = m_meanMs.find(routeKey(flow));
-    return milliseconds(std::llround(found == m_meanMs.end() ? firstGuessMs : found->second));
+    const auto found = m_means.find(routeKey(flow));
+    return milliseconds(std::llround(found == m_means.end() ? firstGuessOfAim * double(aim.count())
+                                                            : found->second.ms));
 }
 
 milliseconds service_times::handshakeTimeout() const
