--- a/include/figstair/core/entry_settings.h
+++ b/include/figstair/core/entry_settings.h
@@ -4,7 +4,8 @@
 
 namespace figstair {
 
-/// What the packet path of a host is told. Values that the deployment states come from its settings.
+/// What the packet path of a host is told. Values that the deployment states come from its
+/// settings.
 struct entry_settings
 {
     host_record self;
--- a/include/figstair/core/flow_table.h
+++ b/include/figstair/core/flow_table.h
@@ -51,8 +51,8 @@
 
     void erase(const flow_id &flow) { m_flows.erase(flow); }
 
-    /// Calls @p isOver for flows in the order they were added, from the oldest, at most @p most; those
-    /// for which it returns true are forgotten.
+    /// Calls @p isOver for flows in the order they were added, from the oldest, at most @p most;
+    /// those for which it returns true are forgotten.
     template <typename predicate> void sweep(std::size_t most, predicate isOver);
 
     std::size_t size() const { return m_flows.size(); }
@@ -63,7 +63,8 @@
     std::deque<flow_id> m_order;
 };
 
-template <typename handler> flow_record &flow_table::insert(const flow_id &flow, handler onForgotten)
+template <typename handler>
+flow_record &flow_table::insert(const flow_id &flow, handler onForgotten)
 {
     const auto found = m_flows.find(flow);
     if (found != m_flows.end()) {
--- a/include/figstair/core/held_flows.h
+++ b/include/figstair/core/held_flows.h
@@ -23,8 +23,8 @@
 };
 
 /// New flows that no upstream has room for now: bounded, by priority of the route, callers in turn.
-/// Answers the load pattern in which all upstreams are full for moments: a held flow is sent as soon
-/// as a request ends, instead of waiting for the caller's next copy of its opening packet.
+/// Answers the load pattern in which all upstreams are full for moments: a held flow is sent as
+/// soon as a request ends, instead of waiting for the caller's next copy of its opening packet.
 class held_flows
 {
 public:
@@ -34,8 +34,8 @@
     /// Returns the flow that found no room: @p item itself, or one of a caller with more waiting.
     std::optional<held_flow> push(held_flow item);
 
-    /// Takes the next flow in the order of priority whose time is not over at @p now. Those whose time
-    /// is over go to @p late.
+    /// Takes the next flow in the order of priority whose time is not over at @p now. Those whose
+    /// time is over go to @p late.
     std::optional<held_flow> pop(monotonic_time now, std::vector<held_flow> &late);
 
     bool isEmpty() const { return m_items.empty(); }
--- a/include/figstair/core/load_board.h
+++ b/include/figstair/core/load_board.h
@@ -22,8 +22,8 @@
 
     bool operator==(const load_row &other) const
     {
-        return tag == other.tag && openRequests == other.openRequests
-            && slowness == other.slowness && isEjected == other.isEjected;
+        return tag == other.tag && openRequests == other.openRequests && slowness == other.slowness
+            && isEjected == other.isEjected;
     }
 };
 
--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/peer_roster.h
@@ -23,8 +23,8 @@
 
     explicit peer_roster(host_record self);
 
-    /// Records what the store says of a host. A host that the store no longer names stays known while
-    /// it is heard.
+    /// Records what the store says of a host. A host that the store no longer names stays known
+    /// while it is heard.
     void apply(const record_change &change);
 
     /// Takes every host that @p listing lacks as no longer named by the store.
@@ -47,7 +47,8 @@
     bool owns(std::uint64_t key, const std::string &zone, monotonic_time now) const;
 
     /// Name of the owner in the sense of owns(); this host's own name when it is the owner.
-    const std::string &ownerOf(std::uint64_t key, const std::string &zone, monotonic_time now) const;
+    const std::string &ownerOf(std::uint64_t key, const std::string &zone,
+                               monotonic_time now) const;
 
     /// Number of live hosts that rendezvous hashing ranks before this one for @p key.
     unsigned rankOf(std::uint64_t key, monotonic_time now) const;
--- a/include/figstair/core/service_times.h
+++ b/include/figstair/core/service_times.h
@@ -9,8 +9,8 @@
 
 namespace figstair {
 
-/// Running means of what callers' packets show: the time from a request to its first answer for each
-/// route, and the time of a handshake.
+/// Running means of what callers' packets show: the time from a request to its first answer for
+/// each route, and the time of a handshake.
 class service_times
 {
 public:
--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -39,16 +39,16 @@
     /// @p flowLife: how long upstreams that left are kept for packets of their flows.
     explicit upstream_directory(milliseconds flowLife);
 
-    /// Records what the store says. Changes older than what is known are ignored. @p returnHold: how
-    /// long upstreams of a zone that is taken back count as cold.
+    /// Records what the store says. Changes older than what is known are ignored. @p returnHold:
+    /// how long upstreams of a zone that is taken back count as cold.
     void apply(const record_change &change, monotonic_time now, milliseconds returnHold);
 
     /// Removes those not named by a full listing at @p revision.
     void retain(boost::span<const record_change> listing, std::uint64_t revision,
                 monotonic_time now);
 
-    /// Upstreams whose entries go before @p until may be used until then: entries that lapsed during
-    /// an outage of the store return after it.
+    /// Upstreams whose entries go before @p until may be used until then: entries that lapsed
+    /// during an outage of the store return after it.
     void keepLapsedUntil(monotonic_time until) { m_graceUntil = until; }
 
     /// Ends pending lapses and forgets upstreams whose flows have ended.
--- a/include/figstair/core/upstream_health.h
+++ b/include/figstair/core/upstream_health.h
@@ -17,8 +17,8 @@
 };
 
 /// Judges upstreams by what callers' packets show: a handshake or request without an answer counts
-/// against an upstream, an acknowledgement for it. Answers the load pattern in which a dead upstream
-/// has no open requests and so attracts every new flow.
+/// against an upstream, an acknowledgement for it. Answers the load pattern in which a dead
+/// upstream has no open requests and so attracts every new flow.
 class upstream_health
 {
 public:
--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -16,23 +16,24 @@
     milliseconds wait{0};
 };
 
-/// Decides which hosts read the store, when, and how old this host's view of it is. One host, the one
-/// that rendezvous hashing ranks first, waits for changes and passes them on; any other reads by
-/// itself as soon as what it hears is too old, whoever is to blame.
+/// Decides which hosts read the store, when, and how old this host's view of it is. One host, the
+/// one that rendezvous hashing ranks first, waits for changes and passes them on; any other reads
+/// by itself as soon as what it hears is too old, whoever is to blame.
 class view_feed
 {
 public:
     explicit view_feed(std::uint64_t seed);
 
-    /// The call that is due at @p now, if any. @p rank: number of live hosts ranked before this one.
+    /// The call that is due at @p now, if any. @p rank: number of live hosts ranked before this
+    /// one.
     feed_call nextCall(monotonic_time now, unsigned rank);
 
     void onListed(std::uint64_t revision, monotonic_time now);
     void onWatched(std::uint64_t revision, monotonic_time now);
     void onFailed(bool isHistoryGone, monotonic_time now);
 
-    /// Another host passes on what changed after @p after up to @p revision, in the store's word @p age
-    /// ago. Returns whether the changes fit and are to be applied.
+    /// Another host passes on what changed after @p after up to @p revision, in the store's word @p
+    /// age ago. Returns whether the changes fit and are to be applied.
     bool onPassedOn(std::uint64_t after, std::uint64_t revision, milliseconds age,
                     milliseconds grace, monotonic_time now);
 
--- a/include/figstair/host/freeze_detector.h
+++ b/include/figstair/host/freeze_detector.h
@@ -6,8 +6,8 @@
 
 namespace figstair {
 
-/// Notices that the process stood still: by a gap between two looks, or by suspended time, which the
-/// monotonic clock does not count.
+/// Notices that the process stood still: by a gap between two looks, or by suspended time, which
+/// the monotonic clock does not count.
 class freeze_detector
 {
 public:
--- a/include/figstair/host/ini_settings.h
+++ b/include/figstair/host/ini_settings.h
@@ -41,8 +41,7 @@
 
 /// Reads the INI file's text by its keys. Fails with settings_error.
 boost::leaf::result<void> readSettings(const std::string &fileName, const std::string &text,
-                                       const std::vector<settings_key> &keys,
-                                       unknown_keys unknown);
+                                       const std::vector<settings_key> &keys, unknown_keys unknown);
 
 /// Reads a file. Fails with settings_error when it cannot be read.
 boost::leaf::result<std::string> readTextFile(const std::string &fileName);
--- a/include/figstair/host/line_output.h
+++ b/include/figstair/host/line_output.h
@@ -7,8 +7,8 @@
 
 namespace figstair {
 
-/// Takes log lines from glog and writes them to a descriptor without ever waiting: lines that find the
-/// buffer full are dropped and counted.
+/// Takes log lines from glog and writes them to a descriptor without ever waiting: lines that find
+/// the buffer full are dropped and counted.
 class line_output : public google::LogSink
 {
 public:
--- a/include/figstair/host/platform_adapter.h
+++ b/include/figstair/host/platform_adapter.h
@@ -39,9 +39,8 @@
     virtual void encodeReset(const flow_id &flow, std::uint32_t sequence,
                              byte_buffer &out) const = 0;
 
-    virtual std::unique_ptr<fleet_store> openStore(boost::asio::io_context &io,
-                                                   const endpoint &where,
-                                                   milliseconds timeout) const = 0;
+    virtual std::unique_ptr<fleet_store>
+    openStore(boost::asio::io_context &io, const endpoint &where, milliseconds timeout) const = 0;
 };
 
 } // namespace figstair
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -14,8 +14,8 @@
 
 namespace figstair {
 
-/// Keeps this host's view of the store's records: carries out what view_feed decides, hands records to
-/// entry_core, passes them on to other hosts, and keeps this host announced.
+/// Keeps this host's view of the store's records: carries out what view_feed decides, hands records
+/// to entry_core, passes them on to other hosts, and keeps this host announced.
 class store_session
 {
 public:
--- a/include/figstair/store/fleet_store.h
+++ b/include/figstair/store/fleet_store.h
@@ -37,8 +37,8 @@
 template <typename value> using store_reply = std::variant<value, store_error>;
 template <typename value> using store_handler = std::function<void(store_reply<value>)>;
 
-/// The platform's store as figstair uses it. Calls do not block; each handler is called once, from the
-/// loop that the store was made with.
+/// The platform's store as figstair uses it. Calls do not block; each handler is called once, from
+/// the loop that the store was made with.
 class fleet_store
 {
 public:
--- a/include/figstair/store/http_client.h
+++ b/include/figstair/store/http_client.h
@@ -8,8 +8,8 @@
 
 namespace figstair {
 
-/// Sends JSON text and waits at most @p timeout for the body of a response of status 200. Fails with
-/// http_error; the request may have been received all the same.
+/// Sends JSON text and waits at most @p timeout for the body of a response of status 200. Fails
+/// with http_error; the request may have been received all the same.
 boost::leaf::result<std::string> httpPost(const endpoint &where, const std::string &path,
                                           const std::string &body, milliseconds timeout);
 
--- a/src/cli/entry_command.cpp
+++ b/src/cli/entry_command.cpp
@@ -22,10 +22,11 @@
         return exitDone;
     }
     const platform::adapter adapter;
-    const auto fileName
-        = options.has("file") ? options.get<std::string>("file") : adapter.settingsPath();
+    const auto fileName =
+        options.has("file") ? options.get<std::string>("file") : adapter.settingsPath();
     if (fileName.empty()) {
-        std::cerr << "figstair entry: no settings file: none was given and the platform names none\n";
+        std::cerr
+            << "figstair entry: no settings file: none was given and the platform names none\n";
         return exitUsage;
     }
     return leaf::try_handle_all(
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -27,14 +27,14 @@
 constexpr double leastQueueFactor = 1.25;
 constexpr double mostQueueFactor = 2.5;
 
-/// Flows whose caller had to repeat the opening packet have missed their aim or are about to: they wait
-/// in shorter queues, and are served after those that can still be in time.
+/// Flows whose caller had to repeat the opening packet have missed their aim or are about to: they
+/// wait in shorter queues, and are served after those that can still be in time.
 constexpr double lateQueueFactor = 1.5;
 constexpr unsigned latePriority = 1000;
 constexpr milliseconds defaultAim{250};
 
-/// A request without any packet for this many times its expected time no longer counts as work of its
-/// upstream: its caller has given up, or the flow goes on through another host.
+/// A request without any packet for this many times its expected time no longer counts as work of
+/// its upstream: its caller has given up, or the flow goes on through another host.
 constexpr int idleOverExpected = 8;
 constexpr milliseconds leastIdleTime{400};
 constexpr milliseconds mostIdleTime{4000};
@@ -54,8 +54,8 @@
 /// Data sent again sooner than this is a doubled packet, not a retransmission.
 constexpr milliseconds leastRetransmission{100};
 
-/// Silence within this time after a freeze, or after a change of the hosts that receive packets, says
-/// nothing of upstreams: answers went by while nobody counted, or another host saw them.
+/// Silence within this time after a freeze, or after a change of the hosts that receive packets,
+/// says nothing of upstreams: answers went by while nobody counted, or another host saw them.
 constexpr milliseconds silenceGraceAfterFreeze{400};
 
 /// Reports to other hosts. The interval bounds how old the load is that a placement goes by; the
@@ -65,8 +65,8 @@
 constexpr std::size_t mostReportTargets = 32;
 constexpr std::size_t otherZoneTargets = 4;
 
-/// After a host came or went, the platform sends the packets of open flows by way of other hosts: two
-/// readiness checks, half a second apart, pass until all of them follow.
+/// After a host came or went, the platform sends the packets of open flows by way of other hosts:
+/// two readiness checks, half a second apart, pass until all of them follow.
 constexpr milliseconds rotationSettleTime{1600};
 
 /// Meanwhile a handshake that seems unanswered was mostly acknowledged through another host.
@@ -149,8 +149,8 @@
 unsigned entry_core::coldPerSecond(const std::string &service) const
 {
     const service_limits limits = m_routes.limitsOf(service);
-    const double bearable
-        = limits.coldRequestsPerSecond * m_settings.coldOvershoot + m_settings.coldSlack;
+    const double bearable =
+        limits.coldRequestsPerSecond * m_settings.coldOvershoot + m_settings.coldSlack;
     // Half, so that two hosts that both take themselves for the owner stay within it together.
     return static_cast<unsigned>(std::max(0.0, bearable / 2));
 }
@@ -215,8 +215,8 @@
     }
 }
 
-placement_outcome entry_core::tryPlace(const flow_id &flow, flow_record &record,
-                                       const route &route, byte_view bytes)
+placement_outcome entry_core::tryPlace(const flow_id &flow, flow_record &record, const route &route,
+                                       byte_view bytes)
 {
     const std::string &service = m_routes.serviceFor(route, flow);
     const double expected = std::max(1.0, double(expectedTime(flow).count()));
@@ -233,20 +233,20 @@
     return choice.outcome;
 }
 
-void entry_core::hold(const flow_id &flow, flow_record &record, const route &route,
-                      byte_view bytes)
+void entry_core::hold(const flow_id &flow, flow_record &record, const route &route, byte_view bytes)
 {
     const monotonic_time now = m_clock.monotonic();
-    const milliseconds time
-        = std::min(longestHold, milliseconds(static_cast<std::int64_t>(
-                                    double(aimOf(flow).count()) * holdShareOfAim)));
+    const milliseconds time = std::min(
+        longestHold,
+        milliseconds(static_cast<std::int64_t>(double(aimOf(flow).count()) * holdShareOfAim)));
     record.phase = flow_phase::waiting;
     m_output.count(entry_counter::flowsHeld, 1);
-    m_output.logEvent("flow_held", {{"flow", toText(flow)},
-                                    {"route", route.name},
-                                    {"copy", record.isLate ? "1" : "0"},
-                                    {"held", std::to_string(m_held.size())},
-                                    {"most_ms", toText(time)}});
+    m_output.logEvent("flow_held",
+                      {{"flow", toText(flow)},
+                       {"route", route.name},
+                       {"copy", record.isLate ? "1" : "0"},
+                       {"held", std::to_string(m_held.size())},
+                       {"most_ms", toText(time)}});
     keepHeld(held_flow{flow,
                        {bytes.begin(), bytes.end()},
                        record.isLate ? latePriority + route.priority : route.priority,
@@ -259,9 +259,10 @@
     if (const auto dropped = m_held.push(std::move(item))) {
         m_flows.erase(dropped->flow);
         m_output.count(entry_counter::flowsDropped, 1);
-        m_output.logEvent("flow_dropped", {{"flow", toText(dropped->flow)},
-                                           {"reason", "too_many_held"},
-                                           {"held", std::to_string(m_held.size())}});
+        m_output.logEvent("flow_dropped",
+                          {{"flow", toText(dropped->flow)},
+                           {"reason", "too_many_held"},
+                           {"held", std::to_string(m_held.size())}});
     }
 }
 
@@ -269,9 +270,9 @@
 {
     m_flows.erase(flow);
     m_output.count(entry_counter::flowsReset, 1);
-    m_output.logEvent("flow_refused", {{"flow", toText(flow)},
-                                       {"reason", reason},
-                                       {"config", std::to_string(configVersion())}});
+    m_output.logEvent(
+        "flow_refused",
+        {{"flow", toText(flow)}, {"reason", reason}, {"config", std::to_string(configVersion())}});
     m_output.reset(flow, 0);
 }
 
@@ -287,16 +288,15 @@
     record.requestAt = now;
     record.lastPacketAt = now;
     record.awaitsAnswer = true;
-    record.expectedFill
-        = std::max(1.0F, static_cast<float>(open + 1) / static_cast<float>(upstream.entry.slots));
+    record.expectedFill =
+        std::max(1.0F, static_cast<float>(open + 1) / static_cast<float>(upstream.entry.slots));
     m_loads.addOpen(choice.upstream);
-    m_pending.push_back(pending_answer{
-        now + m_times.handshakeTimeout(), flow, now, {bytes.begin(), bytes.end()}});
+    m_pending.push_back(
+        pending_answer{now + m_times.handshakeTimeout(), flow, now, {bytes.begin(), bytes.end()}});
     m_output.count(entry_counter::flowsPlaced, 1);
     if (choice.reason != "least_load") {
-        m_output.count(choice.reason == "trial" ? entry_counter::trialsSent
-                                                : entry_counter::coldFlowsSent,
-                       1);
+        m_output.count(
+            choice.reason == "trial" ? entry_counter::trialsSent : entry_counter::coldFlowsSent, 1);
     }
     m_output.logEvent("flow_placed",
                       {{"flow", toText(flow)},
@@ -332,9 +332,10 @@
     if (record == nullptr || record->phase == flow_phase::waiting) {
         if (named == noUpstream) {
             m_output.count(entry_counter::packetsWithUnknownTag, 1);
-            m_output.logEvent("packet_dropped", {{"flow", toText(packet.flow)},
-                                                 {"reason", "unknown_tag"},
-                                                 {"tag", hexText(packet.upstreamTag)}});
+            m_output.logEvent("packet_dropped",
+                              {{"flow", toText(packet.flow)},
+                               {"reason", "unknown_tag"},
+                               {"tag", hexText(packet.upstreamTag)}});
             return;
         }
         record = &remember(packet.flow);
@@ -398,14 +399,16 @@
     const monotonic_time now = m_clock.monotonic();
     const milliseconds time = now - record.requestAt;
     m_health.onAnswered(record.upstream, now);
-    const double ratio = m_times.onAnswer(packet.flow, time, aimOf(packet.flow), record.expectedFill);
+    const double ratio =
+        m_times.onAnswer(packet.flow, time, aimOf(packet.flow), record.expectedFill);
     m_loads.onServed(record.upstream, ratio, now);
     m_output.observe(entry_distribution::firstAnswer, time);
     if (ratio >= noteworthyRatio) {
-        m_output.logEvent("answer_slow", {{"flow", toText(packet.flow)},
-                                          {"upstream", hexText(m_directory.at(record.upstream).entry.id)},
-                                          {"ms", toText(time)},
-                                          {"expected_ms", toText(expectedTime(packet.flow))}});
+        m_output.logEvent("answer_slow",
+                          {{"flow", toText(packet.flow)},
+                           {"upstream", hexText(m_directory.at(record.upstream).entry.id)},
+                           {"ms", toText(time)},
+                           {"expected_ms", toText(expectedTime(packet.flow))}});
     }
     settle(record);
 }
@@ -440,10 +443,11 @@
     const monotonic_time now = m_clock.monotonic();
     m_health.onSilence(upstream, now, isRotationSteady() ? 1 : silencesWhileUnsteady);
     const bool isEjected = m_health.isEjected(upstream);
-    m_output.logEvent("upstream_silent", {{"flow", toText(flow)},
-                                          {"upstream", hexText(m_directory.at(upstream).entry.id)},
-                                          {"evidence", std::string(what)},
-                                          {"state", std::string(m_health.stateName(upstream))}});
+    m_output.logEvent("upstream_silent",
+                      {{"flow", toText(flow)},
+                       {"upstream", hexText(m_directory.at(upstream).entry.id)},
+                       {"evidence", std::string(what)},
+                       {"state", std::string(m_health.stateName(upstream))}});
     if (isEjected && !wasEjected) {
         m_output.count(entry_counter::ejections, 1);
     }
@@ -499,8 +503,7 @@
         if (route == nullptr) {
             refuse(next->flow, "no_route");
         } else if (record != nullptr && record->phase == flow_phase::waiting) {
-            const placement_outcome outcome
-                = tryPlace(next->flow, *record, *route, next->packet);
+            const placement_outcome outcome = tryPlace(next->flow, *record, *route, next->packet);
             if (outcome == placement_outcome::placed) {
                 m_output.observe(entry_distribution::held, now - next->since);
             } else if (outcome == placement_outcome::saturated) {
@@ -516,9 +519,10 @@
     for (const held_flow &item : late) {
         m_flows.erase(item.flow);
         m_output.count(entry_counter::flowsHeldTooLong, 1);
-        m_output.logEvent("flow_dropped", {{"flow", toText(item.flow)},
-                                           {"reason", "held_too_long"},
-                                           {"held_ms", toText(now - item.since)}});
+        m_output.logEvent("flow_dropped",
+                          {{"flow", toText(item.flow)},
+                           {"reason", "held_too_long"},
+                           {"held_ms", toText(now - item.since)}});
     }
 }
 
@@ -597,10 +601,11 @@
     const monotonic_time now = m_clock.monotonic();
     if (const auto *bad = std::get_if<record_change::unreadable>(&change.content)) {
         m_output.count(entry_counter::unreadableRecords, 1);
-        m_output.logEvent("record_unreadable", {{"name", change.name},
-                                                {"upstream", hexText(change.upstreamId)},
-                                                {"revision", std::to_string(change.revision)},
-                                                {"problem", bad->problem}});
+        m_output.logEvent("record_unreadable",
+                          {{"name", change.name},
+                           {"upstream", hexText(change.upstreamId)},
+                           {"revision", std::to_string(change.revision)},
+                           {"problem", bad->problem}});
     }
     if (const auto *config = std::get_if<route_config>(&change.content)) {
         const std::uint64_t before = configVersion();
@@ -620,21 +625,22 @@
     }
     if (const auto *entry = std::get_if<upstream_record>(&change.content)) {
         const upstream_index before = m_directory.findTag(upstreamTag(entry->id));
-        const bool isNewLife = before == noUpstream
-            || m_directory.at(before).entry.bornMs != entry->bornMs;
+        const bool isNewLife =
+            before == noUpstream || m_directory.at(before).entry.bornMs != entry->bornMs;
         m_directory.apply(change, now, milliseconds::zero());
         const upstream_index index = m_directory.findTag(upstreamTag(entry->id));
         if (isNewLife && index != noUpstream) {
             m_loads.reset(index);
             m_health.reset(index);
         }
-        m_output.logEvent("upstream_entry", {{"upstream", hexText(entry->id)},
-                                             {"zone", entry->zone},
-                                             {"service", entry->service},
-                                             {"draining", entry->isDraining ? "1" : "0"},
-                                             {"cold_ms", toText(entry->coldFor)},
-                                             {"new_life", isNewLife ? "1" : "0"},
-                                             {"revision", std::to_string(change.revision)}});
+        m_output.logEvent("upstream_entry",
+                          {{"upstream", hexText(entry->id)},
+                           {"zone", entry->zone},
+                           {"service", entry->service},
+                           {"draining", entry->isDraining ? "1" : "0"},
+                           {"cold_ms", toText(entry->coldFor)},
+                           {"new_life", isNewLife ? "1" : "0"},
+                           {"revision", std::to_string(change.revision)}});
         return;
     }
     m_directory.apply(change, now, m_settings.heartbeat * 2);
@@ -684,9 +690,9 @@
             continue;
         }
         const known_upstream &known = m_directory.at(index);
-        const bool isNamed = std::any_of(
-            report.rows.begin(), report.rows.end(),
-            [&](const load_row &row) { return row.tag == known.tag && row.isEjected; });
+        const bool isNamed =
+            std::any_of(report.rows.begin(), report.rows.end(),
+                        [&](const load_row &row) { return row.tag == known.tag && row.isEjected; });
         if (!isNamed
             && m_roster.ownerOf(known.entry.id, known.entry.zone, now) == report.sender.name) {
             m_health.onCleared(index, now);
@@ -701,8 +707,8 @@
 
 milliseconds entry_core::reportInterval() const
 {
-    const auto targets = static_cast<std::int64_t>(
-        std::min(m_roster.peers().size(), mostReportTargets));
+    const auto targets =
+        static_cast<std::int64_t>(std::min(m_roster.peers().size(), mostReportTargets));
     return std::max(leastReportInterval, milliseconds(targets * reportSpacing.count()));
 }
 
@@ -722,7 +728,8 @@
     // A larger fleet: the whole zone as far as it fits, and a turn of the others.
     if (local.size() > mostReportTargets) {
         std::rotate(local.begin(),
-                    local.begin() + std::ptrdiff_t(m_reportSequence * mostReportTargets % local.size()),
+                    local.begin()
+                        + std::ptrdiff_t(m_reportSequence * mostReportTargets % local.size()),
                     local.end());
         local.resize(mostReportTargets);
     }
--- a/src/core/flow_placer.cpp
+++ b/src/core/flow_placer.cpp
@@ -10,8 +10,9 @@
 constexpr std::size_t mostLookedAtLocally = 24;
 constexpr std::size_t mostLookedAtElsewhere = 12;
 
-/// Cost of leaving the zone, in units of one request's time. Keeps flows local while local upstreams
-/// have free slots: a flow to another zone is lost when the zones are cut from each other.
+/// Cost of leaving the zone, in units of one request's time. Keeps flows local while local
+/// upstreams have free slots: a flow to another zone is lost when the zones are cut from each
+/// other.
 constexpr double otherZoneCost = 0.35;
 
 /// Cost of an upstream that is under suspicion: more than any queue that is still worth waiting in.
@@ -111,8 +112,10 @@
     m_cold = best_choice{};
     m_sawListed = false;
     const std::uint16_t ownZone = m_directory.zoneNumber(m_roster.self().zone);
-    for (std::uint16_t zone = 0; zone < m_directory.zoneCount(); ++zone) {
-        const boost::span<const upstream_index> list = m_directory.candidates(request.service, zone);
+    for (std::size_t number = 0; number < m_directory.zoneCount(); ++number) {
+        const auto zone = static_cast<std::uint16_t>(number);
+        const boost::span<const upstream_index> list =
+            m_directory.candidates(request.service, zone);
         if (list.empty()) {
             continue;
         }
@@ -129,7 +132,8 @@
         if (m_best.isTrial) {
             m_health.onTrialSent(m_best.upstream, now);
         }
-        return {placement_outcome::placed, m_best.upstream, m_best.isTrial ? "trial" : "least_load"};
+        return {placement_outcome::placed, m_best.upstream,
+                m_best.isTrial ? "trial" : "least_load"};
     }
     if (m_cold.upstream != noUpstream) {
         m_coldSent[m_directory.at(m_cold.upstream).entry.id].push_back(now);
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -56,9 +56,9 @@
 
 service_limits route_table::limitsOf(const std::string &service) const
 {
-    const auto found
-        = std::find_if(m_config.services.begin(), m_config.services.end(),
-                       [&](const service_limits &limits) { return limits.name == service; });
+    const auto found =
+        std::find_if(m_config.services.begin(), m_config.services.end(),
+                     [&](const service_limits &limits) { return limits.name == service; });
     return found == m_config.services.end() ? service_limits{} : *found;
 }
 
--- a/src/core/service_times.cpp
+++ b/src/core/service_times.cpp
@@ -10,8 +10,8 @@
 constexpr double leastMeanWeight = 0.03;
 constexpr double handshakeWeight = 0.05;
 
-/// Assumed until something was measured, as a share of the route's aim: operators set aims with room
-/// for queueing and for slow requests.
+/// Assumed until something was measured, as a share of the route's aim: operators set aims with
+/// room for queueing and for slow requests.
 constexpr double firstGuessOfAim = 0.25;
 
 /// One sample moves the mean by at most this factor: an upstream that turned slow must not make its
@@ -35,8 +35,8 @@
 double service_times::onAnswer(const flow_id &flow, milliseconds time, milliseconds aim,
                                double fill)
 {
-    const auto [slot, isNew]
-        = m_means.try_emplace(routeKey(flow), mean{firstGuessOfAim * double(aim.count()), 1});
+    const auto [slot, isNew] =
+        m_means.try_emplace(routeKey(flow), mean{firstGuessOfAim * double(aim.count()), 1});
     mean &known = slot->second;
     const double sample = static_cast<double>(time.count()) / std::max(1.0, fill);
     const double ratio = sample / std::max(1.0, known.ms);
@@ -48,8 +48,8 @@
 void service_times::onHandshake(milliseconds time)
 {
     const auto sample = static_cast<double>(time.count());
-    m_handshakeMs = m_handshakeMs == 0 ? sample
-                                       : m_handshakeMs + handshakeWeight * (sample - m_handshakeMs);
+    m_handshakeMs =
+        m_handshakeMs == 0 ? sample : m_handshakeMs + handshakeWeight * (sample - m_handshakeMs);
 }
 
 milliseconds service_times::expected(const flow_id &flow, milliseconds aim) const
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -22,7 +22,8 @@
 constexpr milliseconds pullInterval{150};
 constexpr milliseconds readAfterBehind{450};
 
-/// Pause after a failed call, doubled up to the greatest. Short at first: other hosts may depend on it.
+/// Pause after a failed call, doubled up to the greatest. Short at first: other hosts may depend on
+/// it.
 constexpr milliseconds firstPause{60};
 constexpr milliseconds longestPause{800};
 constexpr unsigned mostDoublings = 4;
@@ -127,8 +128,8 @@
         m_notBefore = now;
         return;
     }
-    const milliseconds pause
-        = std::min(longestPause, firstPause * (1 << std::min(m_failures, mostDoublings)));
+    const milliseconds pause =
+        std::min(longestPause, firstPause * (1 << std::min(m_failures, mostDoublings)));
     ++m_failures;
     m_notBefore = now + pause + milliseconds(m_random() % static_cast<unsigned>(pause.count()));
 }
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -14,9 +14,9 @@
 
 #include "figstair/core/entry_core.h"
 #include "figstair/host/asio_endpoint.h"
-#include "figstair/host/metrics.h"
 #include "figstair/host/event_log.h"
 #include "figstair/host/freeze_detector.h"
+#include "figstair/host/metrics.h"
 #include "figstair/host/status_server.h"
 #include "figstair/host/store_session.h"
 #include "figstair/host/system_clock_source.h"
@@ -76,8 +76,8 @@
     {
         // Unix milliseconds grow from life to life; a clock that is set back in between only delays
         // others' belief in the new life until the old one is forgotten.
-        m_settings.core.self.incarnation
-            = static_cast<std::uint64_t>(m_clock.wall().time_since_epoch().count());
+        m_settings.core.self.incarnation =
+            static_cast<std::uint64_t>(m_clock.wall().time_since_epoch().count());
         m_core = std::make_unique<entry_core>(m_settings.core, m_clock, randomNumber(), *this);
         openSocket(m_packets, settings.listen);
         openSocket(m_peers, settings.core.self.peerAddress);
@@ -93,11 +93,12 @@
         m_store = std::make_unique<store_session>(
             adapter.openStore(m_io, settings.store, settings.storeTimeout), *m_core, m_clock,
             m_settings.core.self, settings.announcementLife, randomNumber(), *this);
-        logEvent("started", {{"zone", settings.core.self.zone},
-                             {"listen", toString(settings.listen)},
-                             {"peer", toString(settings.core.self.peerAddress)},
-                             {"store", toString(settings.store)},
-                             {"version", FIGSTAIR_VERSION}});
+        logEvent("started",
+                 {{"zone", settings.core.self.zone},
+                  {"listen", toString(settings.listen)},
+                  {"peer", toString(settings.core.self.peerAddress)},
+                  {"store", toString(settings.store)},
+                  {"version", FIGSTAIR_VERSION}});
     }
 
     int run()
@@ -125,10 +126,10 @@
     {
         m_adapter.encodeReset(flow, sequence, m_sendBuffer);
         boost::system::error_code error;
-        m_packets.send_to(asio::buffer(m_sendBuffer),
-                          udp::endpoint(asio::ip::address_v4(flow.callerAddress),
-                                        m_settings.listen.port),
-                          0, error);
+        m_packets.send_to(
+            asio::buffer(m_sendBuffer),
+            udp::endpoint(asio::ip::address_v4(flow.callerAddress), m_settings.listen.port), 0,
+            error);
         noteSendError(error);
     }
 
@@ -306,8 +307,8 @@
         noticeFreeze();
         runDue();
         const monotonic_time now = m_clock.monotonic();
-        const monotonic_time next
-            = std::min({m_core->nextDeadline(), m_store->nextDeadline(), m_nextReport});
+        const monotonic_time next =
+            std::min({m_core->nextDeadline(), m_store->nextDeadline(), m_nextReport});
         m_timer.expires_after(std::clamp<milliseconds>(next - now, shortestSleep, longestSleep));
         m_timer.async_wait([this](boost::system::error_code error) {
             if (!error) {
@@ -399,7 +400,8 @@
     void endIfQuiet(monotonic_time now)
     {
         const milliseconds since = now - m_leavingSince;
-        const bool isQuiet = since >= leastLeaving && now - m_core->lastPacketAt() >= quietBeforeEnd;
+        const bool isQuiet =
+            since >= leastLeaving && now - m_core->lastPacketAt() >= quietBeforeEnd;
         if (isQuiet || since + graceReserve >= m_settings.grace) {
             m_io.stop();
         }
@@ -409,7 +411,9 @@
 
     std::int64_t settingsChangeTime() const
     {
-        struct stat status{};
+        struct stat status
+        {
+        };
         if (stat(m_settingsFile.c_str(), &status) != 0) {
             return 0;
         }
@@ -442,7 +446,9 @@
             [&](const settings_error &error) {
                 logEvent("settings_rejected", {{"why", why}, {"problem", toText(error)}});
             },
-            [&] { logEvent("settings_rejected", {{"why", why}}); });
+            [&] {
+                logEvent("settings_rejected", {{"why", why}});
+            });
     }
 
     entry_process_settings m_settings;
@@ -474,8 +480,7 @@
 
 entry_process::entry_process(const entry_process_settings &settings, std::string settingsFile,
                              const platform_adapter &adapter)
-    : m_implementation(
-        std::make_unique<implementation>(settings, std::move(settingsFile), adapter))
+    : m_implementation(std::make_unique<implementation>(settings, std::move(settingsFile), adapter))
 {
 }
 
--- a/src/host/ini_settings.cpp
+++ b/src/host/ini_settings.cpp
@@ -126,7 +126,8 @@
 bool readName(const std::string &text, std::string &target)
 {
     target = text;
-    return !text.empty() && text.size() <= longestName && text.find_first_of(" ,=\"") == std::string::npos;
+    return !text.empty() && text.size() <= longestName
+        && text.find_first_of(" ,=\"") == std::string::npos;
 }
 
 std::string toText(const settings_error &error)
--- a/src/host/line_output.cpp
+++ b/src/host/line_output.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// About two seconds of lines at the rate limit of event_log.
-constexpr std::size_t mostBufferedBytes = 256 * 1024;
+constexpr std::size_t mostBufferedBytes = std::size_t{256} * 1024;
 
 /// A pipe that can be written takes this much without waiting.
 constexpr std::size_t bytesPerWrite = PIPE_BUF;
@@ -24,8 +24,7 @@
 }
 
 void line_output::send(google::LogSeverity, const char *, const char *, int,
-                       const google::LogMessageTime &, const char *message,
-                       std::size_t messageSize)
+                       const google::LogMessageTime &, const char *message, std::size_t messageSize)
 {
     if (m_buffer.size() + messageSize + 1 > mostBufferedBytes) {
         ++m_dropped;
--- a/src/host/process_settings.cpp
+++ b/src/host/process_settings.cpp
@@ -35,21 +35,15 @@
         {"platform", "endpoint", true, addressText,
          [&s](const std::string &v) { return readEndpoint(v, s.platform); }},
         {"platform", "timeout_ms", false, "a whole number from 50 to 60000",
-         [&s](const std::string &v) {
-             return readMs(v, 50, 60000, s.platformTimeout);
-         }},
+         [&s](const std::string &v) { return readMs(v, 50, 60000, s.platformTimeout); }},
         {"platform", "poll_ms", false, "a whole number from 50 to 60000",
-         [&s](const std::string &v) {
-             return readMs(v, 50, 60000, s.platformPollInterval);
-         }},
+         [&s](const std::string &v) { return readMs(v, 50, 60000, s.platformPollInterval); }},
         {"membership", "probe_ms", false, "a whole number from 50 to 60000",
          [&s](const std::string &v) {
              return readMs(v, 50, 60000, s.host.membership.probeInterval);
          }},
         {"membership", "ack_timeout_ms", false, "a whole number from 10 to 10000",
-         [&s](const std::string &v) {
-             return readMs(v, 10, 10000, s.host.membership.ackTimeout);
-         }},
+         [&s](const std::string &v) { return readMs(v, 10, 10000, s.host.membership.ackTimeout); }},
         {"membership", "suspicion_ms", false, "a whole number from 100 to 60000",
          [&s](const std::string &v) {
              const bool isRead = readMs(v, 100, 60000, s.host.membership.suspicionTime);
@@ -65,17 +59,13 @@
              return readNumber<std::size_t>(v, 1024, 1073741824, s.host.maxOrderAnswerBytes);
          }},
         {"limits", "order_window_ms", false, "a whole number from 1000 to 3600000",
-         [&s](const std::string &v) {
-             return readMs(v, 1000, 3600000, s.host.orderWindow);
-         }},
+         [&s](const std::string &v) { return readMs(v, 1000, 3600000, s.host.orderWindow); }},
         {"limits", "longest_staleness_ms", false, "a whole number from 60000 to 604800000",
          [&s](const std::string &v) {
              return readMs(v, 60000, 604800000, s.host.longestStaleness);
          }},
         {"limits", "token_life_ms", false, "a whole number from 60000 to 604800000",
-         [&s](const std::string &v) {
-             return readMs(v, 60000, 604800000, s.host.tokenLife);
-         }},
+         [&s](const std::string &v) { return readMs(v, 60000, 604800000, s.host.tokenLife); }},
     };
 }
 
@@ -84,8 +74,7 @@
 leaf::result<process_settings> parseSettings(const std::string &fileName, const std::string &text)
 {
     process_settings settings;
-    BOOST_LEAF_CHECK(
-        readSettings(fileName, text, knownKeys(settings), unknown_keys::refused));
+    BOOST_LEAF_CHECK(readSettings(fileName, text, knownKeys(settings), unknown_keys::refused));
     return settings;
 }
 
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -65,8 +65,7 @@
 void store_session::startCall(const feed_call &call)
 {
     if (call.what == feed_call::kind::list) {
-        m_store->list(
-            [this](store_reply<store_records> reply) { onListed(std::move(reply)); });
+        m_store->list([this](store_reply<store_records> reply) { onListed(std::move(reply)); });
     } else if (call.what == feed_call::kind::watch) {
         m_store->watch(call.after, call.wait,
                        [this, after = call.after](store_reply<store_records> reply) {
@@ -142,9 +141,10 @@
     m_history.clear();
     take(listing.records);
     m_core.onListing(listing.records, listing.revision);
-    m_environment.logEvent("view_listed", {{"revision", std::to_string(listing.revision)},
-                                           {"records", std::to_string(listing.records.size())},
-                                           {"first", isFirst ? "1" : "0"}});
+    m_environment.logEvent("view_listed",
+                           {{"revision", std::to_string(listing.revision)},
+                            {"records", std::to_string(listing.records.size())},
+                            {"first", isFirst ? "1" : "0"}});
     offerKeyIfMissing(listing.records);
     tick();
 }
@@ -190,8 +190,8 @@
     if (events.revision > after) {
         keep(after, events.revision, events.records);
         const milliseconds grace = std::max(milliseconds::zero(), m_feed.graceUntil() - now);
-        m_environment.sendToPeers(view_changes{after, events.revision, m_feed.age(now), grace,
-                                               events.records});
+        m_environment.sendToPeers(
+            view_changes{after, events.revision, m_feed.age(now), grace, events.records});
     }
     tick();
 }
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -89,7 +89,7 @@
 host_record hostFrom(const json &value)
 {
     return host_record{value.at(0).get<std::string>(), value.at(1).get<std::string>(),
-                      endpointFrom(value.at(2)), value.at(3).get<std::uint64_t>()};
+                       endpointFrom(value.at(2)), value.at(3).get<std::uint64_t>()};
 }
 
 json toJson(const route_config &config)
@@ -108,8 +108,8 @@
         services.push_back(json::array(
             {item.name, item.maxFlows, item.warmup.count(), item.coldRequestsPerSecond}));
     }
-    return json::array({config.version, std::move(routes), std::move(services),
-                        config.idleTimeout.count()});
+    return json::array(
+        {config.version, std::move(routes), std::move(services), config.idleTimeout.count()});
 }
 
 route_config configFrom(const json &value)
@@ -131,10 +131,9 @@
         config.routes.push_back(std::move(entry));
     }
     for (const json &item : value.at(2)) {
-        config.services.push_back(service_limits{item.at(0).get<std::string>(),
-                                                 item.at(1).get<unsigned>(),
-                                                 milliseconds(item.at(2).get<std::int64_t>()),
-                                                 item.at(3).get<double>()});
+        config.services.push_back(
+            service_limits{item.at(0).get<std::string>(), item.at(1).get<unsigned>(),
+                           milliseconds(item.at(2).get<std::int64_t>()), item.at(3).get<double>()});
     }
     config.idleTimeout = milliseconds(value.at(3).get<std::int64_t>());
     return config;
