--- /dev/null
+++ b/tests/entry/entry_world.cpp
@@ -0,0 +1,625 @@
+#include "entry/entry_world.h"
+
+#include <algorithm>
+#include <cstring>
+#include <deque>
+
+namespace figstair {
+namespace {
+
+constexpr milliseconds inZone{1};
+constexpr milliseconds betweenZones{2};
+constexpr milliseconds toCaller{3};
+constexpr milliseconds readinessInterval{500};
+constexpr milliseconds tickInterval{10};
+constexpr milliseconds reportInterval{100};
+constexpr milliseconds startTime{60}; ///< from a host's start to its first view
+constexpr milliseconds attemptTime{1400};
+constexpr milliseconds retransmission{200};
+constexpr unsigned retries = 2;
+constexpr std::uint32_t routeAddress = 0xC6120001;
+constexpr std::uint16_t routePort = 443;
+constexpr unsigned callersPerZone = 40;
+constexpr std::uint32_t noAnswerYet = 1;
+constexpr std::uint32_t answered = 1000;
+
+const std::string serviceName = "desk";
+
+std::string zoneName(unsigned zone)
+{
+    return "zone-" + std::to_string(zone);
+}
+
+} // namespace
+
+struct entry_world::host : public entry_output
+{
+    host(entry_world &world, std::size_t index, unsigned zone)
+        : world(world)
+        , index(index)
+        , zone(zone)
+    {
+    }
+
+    void forward(byte_view packet, const known_upstream &upstream) override
+    {
+        flow_packet content;
+        std::memcpy(&content, packet.data(), sizeof content);
+        const auto target = static_cast<std::size_t>(upstream.entry.id - 1);
+        const unsigned other = world.upstreamZone(target);
+        if (world.isCutBetween(zone, other)) {
+            return;
+        }
+        world.after(zone == other ? inZone : betweenZones,
+                    [this, target, content, tag = upstream.tag] {
+                        world.onUpstreamPacket(target, content, tag);
+                    });
+    }
+    void reset(const flow_id &flow, std::uint32_t) override
+    {
+        world.after(toCaller, [this, flow] {
+            const auto found = world.m_attempts.find({flow.callerAddress, flow.callerPort});
+            if (found != world.m_attempts.end()) {
+                world.endAttempt(*found->second);
+            }
+        });
+    }
+    void sendToPeer(const endpoint &, byte_view) override { }
+    void logEvent(std::string_view, event_fields) override { }
+    void count(entry_counter, std::uint64_t) override { }
+    void observe(entry_distribution, milliseconds) override { }
+
+    entry_world &world;
+    std::size_t index;
+    unsigned zone;
+    std::unique_ptr<entry_core> core;
+    std::uint64_t life = 0;
+    bool inRotation = false;
+    unsigned misses = 0;
+};
+
+struct entry_world::upstream
+{
+    struct job
+    {
+        flow_id flow;
+        unsigned zone = 0;
+    };
+
+    unsigned zone = 0;
+    std::int64_t bornMs = 1;
+    milliseconds coldFor{0};
+    monotonic_time coldUntil{};
+    bool isSilent = false;
+    bool isDraining = false;
+    double timesSlower = 1.0;
+    unsigned busy = 0;
+    std::deque<job> waiting;
+    std::uint64_t life = 0;
+    std::map<std::size_t, unsigned> startedBySecond;
+    std::vector<monotonic_time> openings;
+    std::map<std::pair<std::uint32_t, std::uint16_t>, bool> flows; ///< whether its request has come
+};
+
+struct entry_world::request
+{
+    unsigned zone = 0;
+    std::uint32_t caller = 0;
+    monotonic_time sentAt{};
+    unsigned tries = 0;
+    bool isOver = false;
+};
+
+struct entry_world::attempt
+{
+    request *owner = nullptr;
+    flow_id flow;
+    bool isOpen = false;
+    bool isOver = false;
+    std::uint32_t tag = 0;
+    std::size_t upstreamIndex = 0;
+    unsigned dataCopies = 0;
+};
+
+entry_world::entry_world(const world_plan &plan)
+    : m_plan(plan)
+    , m_random(plan.seed)
+    , m_cutZones(plan.zones)
+{
+    for (unsigned zone = 0; zone < plan.zones; ++zone) {
+        for (unsigned number = 0; number < plan.upstreamsPerZone; ++number) {
+            m_upstreams.push_back(std::make_unique<upstream>());
+            m_upstreams.back()->zone = zone;
+        }
+        for (unsigned number = 0; number < plan.hostsPerZone; ++number) {
+            m_hosts.push_back(std::make_unique<host>(*this, m_hosts.size(), zone));
+        }
+    }
+    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+        startHost(index);
+        m_hosts[index]->inRotation = true;
+    }
+    after(milliseconds(2000), [this] { nextArrival(); });
+    checkReadiness();
+}
+
+entry_world::~entry_world() = default;
+
+unsigned entry_world::upstreamZone(std::size_t upstream) const
+{
+    return m_upstreams[upstream]->zone;
+}
+
+entry_core &entry_world::core(std::size_t host)
+{
+    return *m_hosts[host]->core;
+}
+
+bool entry_world::isCutBetween(unsigned zone, unsigned other) const
+{
+    return zone != other && (m_cutZones[zone] || m_cutZones[other]);
+}
+
+void entry_world::after(milliseconds delay, std::function<void()> action)
+{
+    m_events.push(event{m_clock.monotonic() + delay, m_eventNumber++, std::move(action)});
+}
+
+milliseconds entry_world::sinceStart() const
+{
+    return m_clock.monotonic() - monotonic_time(milliseconds(3000));
+}
+
+void entry_world::at(milliseconds at, std::function<void()> action)
+{
+    m_events.push(
+        event{monotonic_time(milliseconds(3000)) + at, m_eventNumber++, std::move(action)});
+}
+
+void entry_world::run(milliseconds end)
+{
+    const monotonic_time last = monotonic_time(milliseconds(3000)) + end;
+    while (!m_events.empty() && m_events.top().when <= last) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_clock.set(next.when);
+        next.action();
+    }
+}
+
+void entry_world::startHost(std::size_t index)
+{
+    host &what = *m_hosts[index];
+    host_record self;
+    self.name = "host-" + std::to_string(index);
+    self.zone = zoneName(what.zone);
+    self.peerAddress.port = static_cast<std::uint16_t>(index + 1);
+    self.incarnation = ++what.life;
+    entry_settings settings;
+    settings.self = self;
+    what.core = std::make_unique<entry_core>(settings, m_clock, m_plan.seed * 100 + index, what);
+    const std::uint64_t life = what.life;
+    after(startTime, [this, index, life] {
+        host &started = *m_hosts[index];
+        if (!started.core || started.life != life) {
+            return;
+        }
+        started.core->onListing(listing(), m_revision);
+        tickHost(index);
+        after(milliseconds(m_random() % 100), [this, index] { reportAll(index); });
+    });
+}
+
+void entry_world::killHost(std::size_t index)
+{
+    m_hosts[index]->core.reset();
+    ++m_hosts[index]->life;
+}
+
+void entry_world::tickHost(std::size_t index)
+{
+    host &what = *m_hosts[index];
+    if (!what.core) {
+        return;
+    }
+    what.core->tick();
+    after(tickInterval, [this, index, life = what.life] {
+        if (m_hosts[index]->life == life) {
+            tickHost(index);
+        }
+    });
+}
+
+void entry_world::reportAll(std::size_t index)
+{
+    host &what = *m_hosts[index];
+    if (!what.core) {
+        return;
+    }
+    const peer_report report = what.core->makeReport();
+    for (std::size_t other = 0; other < m_hosts.size(); ++other) {
+        if (other == index || isCutBetween(what.zone, m_hosts[other]->zone)) {
+            continue;
+        }
+        after(betweenZones, [this, other, report] {
+            if (m_hosts[other]->core) {
+                m_hosts[other]->core->onPeerReport(report);
+            }
+        });
+    }
+    after(reportInterval, [this, index, life = what.life] {
+        if (m_hosts[index]->life == life) {
+            reportAll(index);
+        }
+    });
+}
+
+void entry_world::checkReadiness()
+{
+    for (const auto &what : m_hosts) {
+        after(milliseconds(m_random() % 100), [this, index = what->index] {
+            host &checked = *m_hosts[index];
+            if (checked.core && checked.core->hasConfig()) {
+                checked.misses = 0;
+                checked.inRotation = true;
+            } else if (++checked.misses >= 2) {
+                checked.inRotation = false;
+            }
+        });
+    }
+    after(readinessInterval, [this] { checkReadiness(); });
+}
+
+entry_world::host *entry_world::route(const flow_id &flow, unsigned zone)
+{
+    std::vector<host *> all;
+    std::vector<host *> ready;
+    for (const auto &what : m_hosts) {
+        if (what->zone == zone) {
+            all.push_back(what.get());
+            if (what->inRotation) {
+                ready.push_back(what.get());
+            }
+        }
+    }
+    const std::vector<host *> &used = ready.size() * 2 < all.size() ? all : ready;
+    return used.empty() ? nullptr : used[hashOf(flow) % used.size()];
+}
+
+void entry_world::sendFromCaller(attempt &from, flow_packet packet)
+{
+    packet.flow = from.flow;
+    packet.upstreamTag = from.tag;
+    after(toCaller, [this, packet, zone = from.owner->zone] {
+        host *to = route(packet.flow, zone);
+        if (to == nullptr || !to->core) {
+            return;
+        }
+        std::vector<std::uint8_t> bytes(sizeof packet);
+        std::memcpy(bytes.data(), &packet, sizeof packet);
+        to->core->onPacket(packet, bytes);
+    });
+}
+
+void entry_world::nextArrival()
+{
+    const auto second = static_cast<std::size_t>(sinceStart().count() / 1000);
+    m_seconds.resize(std::max(m_seconds.size(), second + 1));
+    ++m_seconds[second].asked;
+    auto next = std::make_unique<request>();
+    next->zone = static_cast<unsigned>(m_random() % m_plan.zones);
+    next->caller =
+        0x64400000 + next->zone * 256 + static_cast<std::uint32_t>(m_random() % callersPerZone);
+    next->sentAt = m_clock.monotonic();
+    request &added = *next;
+    m_requests.push_back(std::move(next));
+    startAttempt(added);
+    after(m_plan.deadline, [this, &added] { finish(added, false); });
+    std::exponential_distribution<double> gap(m_plan.requestsPerSecond / 1000.0);
+    const double wait = gap(m_random) + m_arrivalRest;
+    m_arrivalRest = wait - static_cast<double>(static_cast<std::int64_t>(wait));
+    after(milliseconds(static_cast<std::int64_t>(wait)), [this] { nextArrival(); });
+}
+
+void entry_world::startAttempt(request &what)
+{
+    if (what.isOver || what.tries > retries) {
+        finish(what, false);
+        return;
+    }
+    ++what.tries;
+    m_allAttempts.push_back(std::make_unique<attempt>());
+    attempt &started = *m_allAttempts.back();
+    started.owner = &what;
+    started.flow = flow_id{what.caller, routeAddress, ++m_nextPort, routePort};
+    m_attempts[{what.caller, started.flow.callerPort}] = &started;
+    sendOpening(started, 0);
+    after(milliseconds(200), [this, &started] { sendOpening(started, 1); });
+    after(milliseconds(600), [this, &started] { sendOpening(started, 2); });
+    after(attemptTime, [this, &started] {
+        if (!started.isOpen) {
+            endAttempt(started);
+        }
+    });
+}
+
+void entry_world::endAttempt(attempt &what)
+{
+    if (what.isOver) {
+        return;
+    }
+    what.isOver = true;
+    m_attempts.erase({what.flow.callerAddress, what.flow.callerPort});
+    if (!what.owner->isOver) {
+        startAttempt(*what.owner);
+    }
+}
+
+void entry_world::sendOpening(attempt &what, unsigned copy)
+{
+    if (what.isOver || what.isOpen || what.owner->isOver) {
+        return;
+    }
+    flow_packet packet;
+    packet.opens = true;
+    packet.sequence = 1;
+    packet.acknowledged = copy;
+    sendFromCaller(what, packet);
+}
+
+void entry_world::sendData(attempt &what)
+{
+    if (what.isOver || what.owner->isOver) {
+        return;
+    }
+    flow_packet packet;
+    packet.acknowledges = true;
+    packet.sequence = 2;
+    packet.acknowledged = noAnswerYet;
+    packet.payloadBytes = 100;
+    sendFromCaller(what, packet);
+    const milliseconds wait = retransmission * (1 << std::min(what.dataCopies++, 3U));
+    after(wait, [this, &what] {
+        const auto &flows = m_upstreams[what.upstreamIndex]->flows;
+        const auto found = flows.find({what.flow.callerAddress, what.flow.callerPort});
+        if (found == flows.end() || !found->second) {
+            sendData(what);
+        }
+    });
+}
+
+void entry_world::onUpstreamPacket(std::size_t index, const flow_packet &packet, std::uint32_t tag)
+{
+    upstream &what = *m_upstreams[index];
+    if (what.isSilent) {
+        return;
+    }
+    const std::pair<std::uint32_t, std::uint16_t> key{packet.flow.callerAddress,
+                                                      packet.flow.callerPort};
+    if (packet.opens) {
+        what.openings.push_back(m_clock.monotonic());
+        what.flows.emplace(key, false);
+        after(toCaller, [this, key, tag, index] {
+            const auto found = m_attempts.find(key);
+            if (found == m_attempts.end() || found->second->isOpen) {
+                return;
+            }
+            attempt &opened = *found->second;
+            opened.isOpen = true;
+            opened.tag = tag;
+            opened.upstreamIndex = index;
+            sendData(opened);
+        });
+        return;
+    }
+    const auto found = what.flows.find(key);
+    if (found == what.flows.end() || found->second || packet.payloadBytes == 0) {
+        return;
+    }
+    found->second = true;
+    if (what.waiting.size() >= m_plan.queue) {
+        after(toCaller, [this, key, index] {
+            const auto refused = m_attempts.find(key);
+            if (refused != m_attempts.end()) {
+                onAnswerAtCaller(*refused->second, index, false);
+            }
+        });
+        return;
+    }
+    what.waiting.push_back(upstream::job{packet.flow, 0});
+    startWork(index);
+}
+
+void entry_world::startWork(std::size_t index)
+{
+    upstream &what = *m_upstreams[index];
+    while (what.busy < m_plan.slots && !what.waiting.empty()) {
+        const flow_id flow = what.waiting.front().flow;
+        what.waiting.pop_front();
+        ++what.busy;
+        ++what.startedBySecond[static_cast<std::size_t>(sinceStart().count() / 1000)];
+        std::uniform_real_distribution<double> spread(0.5, 1.5);
+        const double time =
+            static_cast<double>(m_plan.work.count()) * spread(m_random) * what.timesSlower;
+        after(milliseconds(static_cast<std::int64_t>(time)), [this, index, flow, life = what.life] {
+            upstream &done = *m_upstreams[index];
+            if (done.life != life) {
+                return;
+            }
+            --done.busy;
+            startWork(index);
+            if (done.isSilent) {
+                return;
+            }
+            after(toCaller, [this, index, flow] {
+                const auto found = m_attempts.find({flow.callerAddress, flow.callerPort});
+                if (found != m_attempts.end()) {
+                    onAnswerAtCaller(*found->second, index, true);
+                }
+            });
+        });
+    }
+}
+
+void entry_world::onAnswerAtCaller(attempt &what, std::size_t, bool isServed)
+{
+    if (what.isOver) {
+        return;
+    }
+    flow_packet packet;
+    packet.acknowledges = true;
+    packet.ends = true;
+    packet.sequence = 102;
+    packet.acknowledged = answered;
+    sendFromCaller(what, packet);
+    if (isServed) {
+        what.isOver = true;
+        m_attempts.erase({what.flow.callerAddress, what.flow.callerPort});
+        finish(*what.owner, true);
+    } else {
+        endAttempt(what);
+    }
+}
+
+void entry_world::finish(request &what, bool isServed)
+{
+    if (what.isOver) {
+        return;
+    }
+    what.isOver = true;
+    const milliseconds sent = what.sentAt - monotonic_time(milliseconds(3000));
+    second_result &second = m_seconds[static_cast<std::size_t>(sent.count() / 1000)];
+    if (!isServed) {
+        ++second.failed;
+    } else if (m_clock.monotonic() - what.sentAt <= m_plan.aim) {
+        ++second.inAim;
+    } else {
+        ++second.late;
+    }
+}
+
+record_change entry_world::entryOf(std::size_t index) const
+{
+    const upstream &what = *m_upstreams[index];
+    upstream_record entry;
+    entry.id = index + 1;
+    entry.address.port = static_cast<std::uint16_t>(index + 1);
+    entry.service = serviceName;
+    entry.zone = zoneName(what.zone);
+    entry.slots = m_plan.slots;
+    entry.isDraining = what.isDraining;
+    entry.bornMs = what.bornMs;
+    entry.coldFor = std::max(milliseconds::zero(), what.coldUntil - m_clock.monotonic());
+    record_change change;
+    change.kind = record_kind::upstream;
+    change.upstreamId = entry.id;
+    change.revision = m_revision;
+    change.content = entry;
+    return change;
+}
+
+std::vector<record_change> entry_world::listing() const
+{
+    route_config config;
+    config.version = 1;
+    config.routes.push_back(
+        route{"r1", routeAddress, routePort, {{serviceName, 1}}, m_plan.deadline, m_plan.aim, 0});
+    config.services.push_back(service_limits{serviceName, 2000, milliseconds(2000), 0});
+    record_change change;
+    change.revision = 1;
+    change.content = config;
+    std::vector<record_change> records{change};
+    for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
+        records.push_back(entryOf(index));
+    }
+    return records;
+}
+
+void entry_world::announce(std::size_t upstream)
+{
+    ++m_revision;
+    const record_change change = entryOf(upstream);
+    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+        after(milliseconds(10 + m_random() % 50), [this, index, change] {
+            if (m_hosts[index]->core && m_hosts[index]->core->hasConfig()) {
+                m_hosts[index]->core->onChange(change);
+            }
+        });
+    }
+}
+
+void entry_world::setUpstreamSilent(std::size_t upstream, bool isSilent)
+{
+    m_upstreams[upstream]->isSilent = isSilent;
+}
+
+void entry_world::setUpstreamSpeed(std::size_t upstream, double timesSlower)
+{
+    m_upstreams[upstream]->timesSlower = timesSlower;
+}
+
+void entry_world::drainUpstream(std::size_t upstream)
+{
+    m_upstreams[upstream]->isDraining = true;
+    announce(upstream);
+}
+
+void entry_world::restartUpstreamCold(std::size_t index, milliseconds coldFor)
+{
+    upstream &what = *m_upstreams[index];
+    ++what.life;
+    what.busy = 0;
+    what.waiting.clear();
+    what.flows.clear();
+    what.isSilent = false;
+    what.bornMs = m_clock.wall().time_since_epoch().count();
+    what.coldUntil = m_clock.monotonic() + coldFor;
+    announce(index);
+}
+
+void entry_world::cutZone(unsigned zone, bool isCut)
+{
+    m_cutZones[zone] = isCut;
+}
+
+unsigned entry_world::startedAt(std::size_t upstream, std::size_t second) const
+{
+    const auto &bySecond = m_upstreams[upstream]->startedBySecond;
+    const auto found = bySecond.find(second);
+    return found == bySecond.end() ? 0 : found->second;
+}
+
+unsigned entry_world::mostOpeningsInOneSecond(std::size_t upstream, milliseconds first,
+                                              milliseconds last) const
+{
+    const std::vector<monotonic_time> &times = m_upstreams[upstream]->openings;
+    const monotonic_time start(milliseconds(3000));
+    unsigned most = 0;
+    for (std::size_t begin = 0; begin < times.size(); ++begin) {
+        if (times[begin] < start + first || times[begin] >= start + last) {
+            continue;
+        }
+        unsigned count = 0;
+        for (std::size_t end = begin; end < times.size() && times[end] < start + last
+             && times[end] - times[begin] < milliseconds(1000);
+             ++end) {
+            ++count;
+        }
+        most = std::max(most, count);
+    }
+    return most;
+}
+
+second_result entry_world::sum(std::size_t first, std::size_t last) const
+{
+    second_result total;
+    for (std::size_t second = first; second < std::min(last, m_seconds.size()); ++second) {
+        total.asked += m_seconds[second].asked;
+        total.inAim += m_seconds[second].inAim;
+        total.late += m_seconds[second].late;
+        total.failed += m_seconds[second].failed;
+    }
+    return total;
+}
+
+} // namespace figstair
--- /dev/null
+++ b/tests/entry/entry_world.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "figstair/core/entry_core.h"
+
+namespace figstair {
+
+/// Time of a simulated world.
+class world_clock : public clock_source
+{
+public:
+    monotonic_time monotonic() const override { return m_now; }
+    wall_time wall() const override
+    {
+        return wall_time(milliseconds(1'700'000'000'000) + m_now.time_since_epoch());
+    }
+    void set(monotonic_time now) { m_now = now; }
+
+private:
+    monotonic_time m_now{milliseconds(1000)};
+};
+
+/// What a simulated deployment is made of. Times are those of the model, not of any measurement.
+struct world_plan
+{
+    std::uint64_t seed = 1;
+    unsigned zones = 3;
+    unsigned hostsPerZone = 2;
+    unsigned upstreamsPerZone = 5;
+    unsigned slots = 4;
+    unsigned queue = 16; ///< requests that wait at an upstream; more are refused by it
+    double requestsPerSecond = 400;
+    milliseconds work{60}; ///< mean; spread evenly over 50% to 150%
+    milliseconds aim{250};
+    milliseconds deadline{4000};
+};
+
+/// Counts of the requests that were first sent in one second.
+struct second_result
+{
+    unsigned asked = 0;
+    unsigned inAim = 0;
+    unsigned late = 0;
+    unsigned failed = 0;
+};
+
+/// A fabric, hosts, upstreams and callers in simulated time, around the hosts' real decisions: a
+/// stand-in for the platform's routers, which spray packets by a hash over the hosts that answer
+/// readiness checks.
+class entry_world
+{
+public:
+    explicit entry_world(const world_plan &plan);
+    ~entry_world();
+
+    /// Calls @p action at @p at after the start of traffic.
+    void at(milliseconds at, std::function<void()> action);
+
+    /// Runs until @p end after the start of traffic.
+    void run(milliseconds end);
+
+    // Faults, to be used from at().
+    void killHost(std::size_t host);
+    void startHost(std::size_t host);
+    void setUpstreamSilent(std::size_t upstream, bool isSilent);
+    void restartUpstreamCold(std::size_t upstream, milliseconds coldFor);
+    void setUpstreamSpeed(std::size_t upstream, double timesSlower);
+    void cutZone(unsigned zone, bool isCut);
+    void drainUpstream(std::size_t upstream);
+
+    std::size_t hostCount() const { return m_hosts.size(); }
+    std::size_t upstreamCount() const { return m_upstreams.size(); }
+    entry_core &core(std::size_t host);
+
+    /// Requests by the second in which they were first sent.
+    const std::vector<second_result> &seconds() const { return m_seconds; }
+
+    /// Requests that upstreams began, by upstream and second of arrival.
+    unsigned startedAt(std::size_t upstream, std::size_t second) const;
+
+    /// Most opening packets that reached @p upstream within any second between the two times.
+    unsigned mostOpeningsInOneSecond(std::size_t upstream, milliseconds first,
+                                     milliseconds last) const;
+
+    /// Sums of seconds() from @p first to before @p last.
+    second_result sum(std::size_t first, std::size_t last) const;
+
+private:
+    struct host;
+    struct upstream;
+    struct request;
+    struct attempt;
+    struct event
+    {
+        monotonic_time when;
+        std::uint64_t number;
+        std::function<void()> action;
+        bool operator<(const event &other) const
+        {
+            return when != other.when ? when > other.when : number > other.number;
+        }
+    };
+
+    void after(milliseconds delay, std::function<void()> action);
+    milliseconds sinceStart() const;
+    void nextArrival();
+    void checkReadiness();
+    void reportAll(std::size_t host);
+    void tickHost(std::size_t host);
+    host *route(const flow_id &flow, unsigned zone);
+    void sendFromCaller(attempt &from, flow_packet packet);
+    void startAttempt(request &what);
+    void endAttempt(attempt &what);
+    unsigned upstreamZone(std::size_t upstream) const;
+    void sendOpening(attempt &what, unsigned copy);
+    void sendData(attempt &what);
+    void onUpstreamPacket(std::size_t index, const flow_packet &packet, std::uint32_t tag);
+    void startWork(std::size_t index);
+    void onAnswerAtCaller(attempt &what, std::size_t upstreamIndex, bool isServed);
+    void finish(request &what, bool isServed);
+    record_change entryOf(std::size_t upstream) const;
+    std::vector<record_change> listing() const;
+    void announce(std::size_t upstream);
+    bool isCutBetween(unsigned zone, unsigned other) const;
+
+    world_plan m_plan;
+    world_clock m_clock;
+    std::mt19937_64 m_random;
+    std::priority_queue<event> m_events;
+    std::uint64_t m_eventNumber = 0;
+    std::uint64_t m_revision = 100;
+    std::vector<std::unique_ptr<host>> m_hosts;
+    std::vector<std::unique_ptr<upstream>> m_upstreams;
+    std::vector<std::unique_ptr<request>> m_requests;
+    std::map<std::pair<std::uint32_t, std::uint16_t>, attempt *> m_attempts;
+    std::vector<std::unique_ptr<attempt>> m_allAttempts;
+    std::vector<second_result> m_seconds;
+    std::vector<bool> m_cutZones;
+    std::uint16_t m_nextPort = 1024;
+    double m_arrivalRest = 0; ///< part of a millisecond that the last gap left over
+};
+
+} // namespace figstair
