--- a/tests/entry/entry_world.cpp
+++ b/tests/entry/entry_world.cpp
@@ -270,7 +270,7 @@
     after(readinessInterval, [this] { checkReadiness(); });
 }
 
-entry_world::host *entry_world::route(const flow_id &flow, unsigned zone)
+entry_world::host *entry_world::routeOf(const flow_id &flow, unsigned zone)
 {
     std::vector<host *> all;
     std::vector<host *> ready;
@@ -291,7 +291,7 @@
     packet.flow = from.flow;
     packet.upstreamTag = from.tag;
     after(toCaller, [this, packet, zone = from.owner->zone] {
-        host *to = route(packet.flow, zone);
+        host *to = routeOf(packet.flow, zone);
         if (to == nullptr || !to->core) {
             return;
         }
--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -115,7 +115,7 @@
     void checkReadiness();
     void reportAll(std::size_t host);
     void tickHost(std::size_t host);
-    host *route(const flow_id &flow, unsigned zone);
+    host *routeOf(const flow_id &flow, unsigned zone);
     void sendFromCaller(attempt &from, flow_packet packet);
     void startAttempt(request &what);
     void endAttempt(attempt &what);
