--- /dev/null
+++ b/tests/core/entry_parts_test.cpp
@@ -0,0 +1,200 @@
+#include <doctest/doctest.h>
+
+#include "figstair/core/flow_table.h"
+#include "figstair/core/held_flows.h"
+#include "figstair/core/load_board.h"
+#include "figstair/core/peer_roster.h"
+#include "figstair/core/service_times.h"
+
+using namespace figstair;
+
+namespace {
+
+monotonic_time ms(std::int64_t value)
+{
+    return monotonic_time(milliseconds(10000 + value));
+}
+
+flow_id flowOf(std::uint16_t port, std::uint32_t caller = 7)
+{
+    return flow_id{caller, 1, port, 443};
+}
+
+held_flow heldFlow(std::uint16_t port, unsigned priority, std::int64_t until,
+                   std::uint32_t caller = 7)
+{
+    return held_flow{flowOf(port, caller), {1}, priority, ms(0), ms(until)};
+}
+
+struct one_known_upstream
+{
+    one_known_upstream()
+    {
+        record_change change;
+        change.kind = record_kind::upstream;
+        change.upstreamId = 1;
+        change.revision = 1;
+        upstream_record entry;
+        entry.id = 1;
+        entry.service = "desk";
+        entry.zone = "z";
+        change.content = entry;
+        directory.apply(change, ms(0), milliseconds(0));
+    }
+
+    upstream_directory directory{milliseconds(60000)};
+    load_board loads{directory};
+};
+
+} // namespace
+
+TEST_CASE("held_flows: two priorities: the more urgent is served first, callers in turn")
+{
+    held_flows held(8);
+    held.push(heldFlow(1, 2, 100));
+    held.push(heldFlow(2, 1, 100));
+    held.push(heldFlow(3, 1, 100));
+    held.push(heldFlow(4, 1, 100, 8));
+    std::vector<held_flow> late;
+    CHECK(held.pop(ms(1), late)->flow.callerPort == 2);
+    CHECK(held.pop(ms(1), late)->flow.callerPort == 4);
+    CHECK(held.pop(ms(1), late)->flow.callerPort == 3);
+    CHECK(held.pop(ms(1), late)->flow.callerPort == 1);
+    CHECK_FALSE(held.pop(ms(1), late).has_value());
+    CHECK(late.empty());
+}
+
+TEST_CASE("held_flows: time is over: comes out as late")
+{
+    held_flows held(8);
+    held.push(heldFlow(1, 1, 50));
+    held.push(heldFlow(2, 1, 500));
+    std::vector<held_flow> late;
+    CHECK(held.pop(ms(60), late)->flow.callerPort == 2);
+    REQUIRE(late.size() == 1);
+    CHECK(late.front().flow.callerPort == 1);
+    CHECK(held.isEmpty());
+}
+
+TEST_CASE("held_flows: full of one caller's flows: another caller's takes the place of one")
+{
+    held_flows held(2);
+    CHECK_FALSE(held.push(heldFlow(1, 1, 100)).has_value());
+    CHECK_FALSE(held.push(heldFlow(2, 1, 100)).has_value());
+    const auto dropped = held.push(heldFlow(3, 1, 100, 8));
+    REQUIRE(dropped.has_value());
+    CHECK(dropped->flow.callerPort == 2);
+    CHECK(held.push(heldFlow(4, 1, 100))->flow.callerPort == 4);
+}
+
+TEST_CASE("flow_table: full: the flow added first is forgotten, and reported")
+{
+    flow_table flows(2);
+    int forgotten = 0;
+    const auto count = [&](flow_record &) { ++forgotten; };
+    flows.insert(flowOf(1), count);
+    flows.insert(flowOf(2), count);
+    flows.insert(flowOf(1), count);
+    CHECK(forgotten == 0);
+    flows.insert(flowOf(3), count);
+    CHECK(forgotten == 1);
+    CHECK(flows.find(flowOf(1)) == nullptr);
+    CHECK(flows.find(flowOf(3)) != nullptr);
+}
+
+TEST_CASE("flow_table: swept: flows that are over go, erased ones are passed over")
+{
+    flow_table flows(10);
+    const auto nothing = [](flow_record &) {};
+    for (std::uint16_t port = 1; port <= 5; ++port) {
+        flows.insert(flowOf(port), nothing);
+    }
+    flows.erase(flowOf(2));
+    flows.sweep(10, [](const flow_id &flow, flow_record &) { return flow.callerPort == 3; });
+    CHECK(flows.size() == 3);
+    CHECK(flows.find(flowOf(3)) == nullptr);
+}
+
+TEST_CASE_FIXTURE(one_known_upstream, "load_board: reports of two hosts: summed, replaced, dropped")
+{
+    const std::uint32_t tag = upstreamTag(1);
+    loads.addOpen(0);
+    loads.setReport("a", std::vector<load_row>{{tag, 2, 0, false}}, ms(0));
+    loads.setReport("b", std::vector<load_row>{{tag, 3, 0, false}}, ms(0));
+    CHECK(loads.open(0) == 6);
+    loads.setReport("a", std::vector<load_row>{}, ms(10));
+    CHECK(loads.open(0) == 4);
+    loads.dropReport("b");
+    CHECK(loads.open(0) == 1);
+    CHECK(loads.ownOpen(0) == 1);
+}
+
+TEST_CASE_FIXTURE(one_known_upstream,
+                  "load_board: slowness measured: fades within seconds, is reported")
+{
+    for (int sample = 0; sample < 8; ++sample) {
+        loads.onServed(0, 5.0, ms(0));
+    }
+    CHECK(loads.slowness(0, ms(0)) > 4.0);
+    CHECK(loads.slowness(0, ms(10000)) < 1.1);
+    const std::vector<load_row> rows = loads.ownRows(ms(0));
+    REQUIRE(rows.size() == 1);
+    CHECK(rows.front().slowness > 16 * 4);
+}
+
+TEST_CASE_FIXTURE(one_known_upstream, "load_board: a report for an unknown tag: is ignored")
+{
+    loads.setReport("a", std::vector<load_row>{{12345, 9, 0, true}}, ms(0));
+    CHECK(loads.open(0) == 0);
+}
+
+TEST_CASE("service_times: first samples: replace the guess quickly, outliers count little")
+{
+    service_times times;
+    const milliseconds aim(240);
+    CHECK(times.expected(flowOf(1), aim) == milliseconds(60));
+    for (int sample = 0; sample < 10; ++sample) {
+        times.onAnswer(flowOf(1), milliseconds(20), aim, 1.0);
+    }
+    CHECK(times.expected(flowOf(1), aim) < milliseconds(28));
+    CHECK(times.onAnswer(flowOf(1), milliseconds(5000), aim, 1.0) > 100);
+    CHECK(times.expected(flowOf(1), aim) < milliseconds(36));
+}
+
+TEST_CASE("service_times: handshakes measured: the timeout follows within bounds")
+{
+    service_times times;
+    CHECK(times.handshakeTimeout() == milliseconds(30));
+    for (int sample = 0; sample < 200; ++sample) {
+        times.onHandshake(milliseconds(12));
+    }
+    CHECK(times.handshakeTimeout() > milliseconds(40));
+    CHECK(times.handshakeTimeout() < milliseconds(60));
+}
+
+TEST_CASE("peer_roster: a host heard: alive, silent after a while, listed again by the store only")
+{
+    peer_roster roster(host_record{"me", "z", {}, 1});
+    CHECK(roster.onHeard(host_record{"a", "y", {}, 5}, false, ms(0)));
+    CHECK(roster.isAlive(roster.peers().at("a"), ms(400)));
+    CHECK(roster.isZoneReached("y", ms(400)));
+    CHECK_FALSE(roster.isAlive(roster.peers().at("a"), ms(600)));
+    CHECK_FALSE(roster.isZoneReached("y", ms(600)));
+    CHECK(roster.isZoneReached("never-heard", ms(600)));
+    CHECK_FALSE(roster.onHeard(host_record{"a", "y", {}, 4}, false, ms(700)));
+    roster.advance(ms(11000));
+    CHECK(roster.peers().empty());
+}
+
+TEST_CASE("peer_roster: a host comes, leaves or falls silent: the time of the change is known")
+{
+    peer_roster roster(host_record{"me", "z", {}, 1});
+    roster.onHeard(host_record{"a", "y", {}, 5}, false, ms(100));
+    CHECK(roster.changedAt() == ms(100));
+    roster.onHeard(host_record{"a", "y", {}, 5}, false, ms(200));
+    CHECK(roster.changedAt() == ms(100));
+    roster.onHeard(host_record{"a", "y", {}, 5}, true, ms(300));
+    CHECK(roster.changedAt() == ms(300));
+    roster.advance(ms(900));
+    CHECK(roster.changedAt() == ms(900));
+}
--- /dev/null
+++ b/tests/core/flow_placer_test.cpp
@@ -0,0 +1,231 @@
+#include "figstair/core/flow_placer.h"
+
+#include <map>
+
+#include <doctest/doctest.h>
+
+using namespace figstair;
+
+namespace {
+
+const std::string service = "desk";
+
+struct two_zones
+{
+    two_zones()
+    {
+        for (std::uint64_t id = 1; id <= 6; ++id) {
+            add(id, id <= 3 ? "here" : "there", milliseconds(0));
+        }
+    }
+
+    void add(std::uint64_t id, const std::string &zone, milliseconds coldFor)
+    {
+        upstream_record entry;
+        entry.id = id;
+        entry.service = service;
+        entry.zone = zone;
+        entry.slots = 2;
+        entry.coldFor = coldFor;
+        record_change change;
+        change.kind = record_kind::upstream;
+        change.upstreamId = id;
+        change.revision = ++revision;
+        change.content = entry;
+        directory.apply(change, now, milliseconds(0));
+    }
+
+    placement_result choose(double queueFactor = 2.0, unsigned coldPerSecond = 2,
+                            upstream_index excluded = noUpstream)
+    {
+        return placer.choose(placement_request{service, coldPerSecond, queueFactor, excluded}, now);
+    }
+
+    std::uint64_t idOf(upstream_index index) { return directory.at(index).entry.id; }
+    upstream_index indexOf(std::uint64_t id) { return directory.findTag(upstreamTag(id)); }
+    void fill(std::uint64_t id, unsigned count)
+    {
+        for (unsigned step = 0; step < count; ++step) {
+            loads.addOpen(indexOf(id));
+        }
+    }
+
+    monotonic_time now{milliseconds(10000)};
+    std::uint64_t revision = 0;
+    upstream_directory directory{milliseconds(60000)};
+    load_board loads{directory};
+    upstream_health health;
+    peer_roster roster{host_record{"h1", "here", {}, 1}};
+    flow_placer placer{directory, loads, health, roster, 1};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(two_zones, "flow_placer: idle upstreams: the own zone's are chosen, evenly")
+{
+    std::map<std::uint64_t, int> chosen;
+    for (int step = 0; step < 6; ++step) {
+        const placement_result result = choose();
+        REQUIRE(result.outcome == placement_outcome::placed);
+        loads.addOpen(result.upstream);
+        ++chosen[idOf(result.upstream)];
+    }
+    CHECK(chosen[1] == 2);
+    CHECK(chosen[2] == 2);
+    CHECK(chosen[3] == 2);
+}
+
+TEST_CASE_FIXTURE(two_zones, "flow_placer: own zone full: free slots of the other zone are used")
+{
+    for (const std::uint64_t id : {1U, 2U, 3U}) {
+        fill(id, 2);
+    }
+    CHECK(idOf(choose().upstream) > 3);
+}
+
+TEST_CASE_FIXTURE(two_zones,
+                  "flow_placer: a measured slow upstream: avoided while others have room")
+{
+    for (int sample = 0; sample < 5; ++sample) {
+        loads.onServed(indexOf(1), 6.0, now);
+    }
+    for (int step = 0; step < 4; ++step) {
+        const placement_result result = choose();
+        CHECK(idOf(result.upstream) != 1);
+        loads.addOpen(result.upstream);
+    }
+}
+
+TEST_CASE_FIXTURE(two_zones, "flow_placer: all beyond the queue factor: saturated, not placed")
+{
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        fill(id, 3);
+    }
+    CHECK(choose(1.5).outcome == placement_outcome::saturated);
+    CHECK(choose(2.0).outcome == placement_outcome::placed);
+}
+
+TEST_CASE_FIXTURE(two_zones, "flow_placer: no upstream of the service: none usable")
+{
+    const std::string other = "other";
+    CHECK(placer.choose(placement_request{other, 2, 2.0, noUpstream}, now).outcome
+          == placement_outcome::noneUsable);
+}
+
+TEST_CASE_FIXTURE(two_zones, "flow_placer: ejected everywhere: saturated, since they may come back")
+{
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        health.onSilence(indexOf(id), now, 1);
+        health.onSilence(indexOf(id), now, 1);
+    }
+    CHECK(choose().outcome == placement_outcome::saturated);
+}
+
+TEST_CASE_FIXTURE(two_zones, "flow_placer: the upstream that gave no answer: is not chosen again")
+{
+    for (int step = 0; step < 20; ++step) {
+        CHECK(idOf(choose(2.0, 2, indexOf(2)).upstream) != 2);
+    }
+}
+
+TEST_CASE_FIXTURE(two_zones, "flow_placer: warm upstreams with free slots: cold ones get nothing")
+{
+    add(1, "here", milliseconds(2000));
+    for (int step = 0; step < 20; ++step) {
+        CHECK(idOf(choose().upstream) != 1);
+    }
+}
+
+TEST_CASE_FIXTURE(two_zones,
+                  "flow_placer: only cold upstreams: each gets its allowance a second, no more")
+{
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        add(id, "here", milliseconds(5000));
+    }
+    std::map<std::uint64_t, int> chosen;
+    for (int step = 0; step < 40; ++step) {
+        const placement_result result = choose();
+        if (result.outcome == placement_outcome::placed) {
+            ++chosen[idOf(result.upstream)];
+        }
+    }
+    CHECK(chosen.size() == 6);
+    for (const auto &[id, count] : chosen) {
+        CHECK(count == 2);
+    }
+    now += milliseconds(1001);
+    CHECK(choose().outcome == placement_outcome::placed);
+    CHECK(choose(2.0, 0).outcome == placement_outcome::saturated);
+}
+
+TEST_CASE_FIXTURE(two_zones,
+                  "flow_placer: a cold upstream that another host owns: gets nothing from here")
+{
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        add(id, "there", milliseconds(5000));
+    }
+    // A live host in the upstreams' zone owns them.
+    roster.onHeard(host_record{"h2", "there", {}, 1}, false, now);
+    CHECK(choose().outcome == placement_outcome::saturated);
+}
+
+TEST_CASE("flow_placer: hosts with the same view: exactly one owns each cold upstream")
+{
+    const monotonic_time now(milliseconds(10000));
+    const std::vector<host_record> hosts{{"a", "x", {}, 1}, {"b", "x", {}, 1}, {"c", "y", {}, 1}};
+    std::vector<peer_roster> rosters;
+    for (const host_record &self : hosts) {
+        rosters.emplace_back(self);
+        for (const host_record &other : hosts) {
+            rosters.back().onHeard(other, false, now);
+        }
+    }
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        const std::string zone = id % 2 == 0 ? "x" : "y";
+        int owners = 0;
+        for (const peer_roster &roster : rosters) {
+            owners += roster.owns(id, zone, now) ? 1 : 0;
+        }
+        CHECK(owners == 1);
+    }
+}
+
+TEST_CASE("flow_placer: 73,000 upstreams: a nearly idle one is found among the busy")
+{
+    upstream_directory directory{milliseconds(60000)};
+    const monotonic_time now(milliseconds(10000));
+    for (std::uint64_t id = 1; id <= 73000; ++id) {
+        upstream_record entry;
+        entry.id = id;
+        entry.service = service;
+        entry.zone = "z" + std::to_string(id % 23);
+        entry.slots = 2;
+        record_change change;
+        change.kind = record_kind::upstream;
+        change.upstreamId = id;
+        change.revision = id;
+        change.content = entry;
+        directory.apply(change, now, milliseconds(0));
+    }
+    load_board loads{directory};
+    upstream_health health;
+    const peer_roster roster{host_record{"h1", "z1", {}, 1}};
+    flow_placer placer{directory, loads, health, roster, 1};
+    std::uint64_t shared = 0;
+    for (upstream_index index = 0; index < directory.size(); ++index) {
+        if (index % 2 == 0) {
+            loads.addOpen(index);
+            loads.addOpen(index);
+        }
+        shared += directory.at(index).isTagShared ? 1 : 0;
+    }
+    // Flows placed on an upstream whose tag names two would reach either: those get none.
+    CHECK(shared < 20);
+    for (int step = 0; step < 50; ++step) {
+        const placement_result result =
+            placer.choose(placement_request{service, 2, 2.0, noUpstream}, now);
+        REQUIRE(result.outcome == placement_outcome::placed);
+        CHECK(loads.open(result.upstream) == 0);
+        CHECK_FALSE(directory.at(result.upstream).isTagShared);
+    }
+}
--- /dev/null
+++ b/tests/core/upstream_health_test.cpp
@@ -0,0 +1,132 @@
+#include "figstair/core/upstream_health.h"
+
+#include <doctest/doctest.h>
+
+using namespace figstair;
+
+namespace {
+
+monotonic_time ms(std::int64_t value)
+{
+    return monotonic_time(milliseconds(10000 + value));
+}
+
+constexpr upstream_index which = 3;
+
+struct silent_twice
+{
+    silent_twice()
+    {
+        health.onSilence(which, ms(0), 1);
+        health.onSilence(which, ms(10), 1);
+    }
+
+    upstream_health health;
+};
+
+} // namespace
+
+TEST_CASE("upstream_health: one silence: avoided, then free again after a rest or an answer")
+{
+    upstream_health health;
+    health.onSilence(which, ms(0), 1);
+    CHECK(health.rightOf(which, ms(1)) == placement_right::avoid);
+    SUBCASE("rest")
+    {
+        CHECK(health.rightOf(which, ms(1000)) == placement_right::free);
+    }
+    SUBCASE("answer")
+    {
+        health.onAnswered(which, ms(2));
+        CHECK(health.rightOf(which, ms(3)) == placement_right::free);
+    }
+}
+
+TEST_CASE_FIXTURE(silent_twice,
+                  "upstream_health: ejected: one trial after the pause, then none until its end")
+{
+    CHECK(health.isEjected(which));
+    CHECK(health.rightOf(which, ms(100)) == placement_right::none);
+    CHECK(health.rightOf(which, ms(600)) == placement_right::trial);
+    health.onTrialSent(which, ms(600));
+    CHECK(health.rightOf(which, ms(601)) == placement_right::none);
+}
+
+TEST_CASE_FIXTURE(silent_twice, "upstream_health: trials fail: the pause doubles up to a bound")
+{
+    std::int64_t now = 10;
+    std::int64_t pause = 0;
+    for (int failure = 0; failure < 8; ++failure) {
+        const std::int64_t start = now;
+        while (health.rightOf(which, ms(now)) != placement_right::trial) {
+            now += 10;
+            REQUIRE(now < 100000);
+        }
+        CHECK(now - start >= pause);
+        pause = now - start;
+        CHECK(pause <= 8000 + 10);
+        health.onTrialSent(which, ms(now));
+        health.onSilence(which, ms(now), 1);
+    }
+    CHECK(pause >= 4000);
+}
+
+TEST_CASE_FIXTURE(silent_twice, "upstream_health: a trial is answered: on probation, free after it")
+{
+    CHECK(health.rightOf(which, ms(600)) == placement_right::trial);
+    health.onAnswered(which, ms(620));
+    CHECK(health.isEjected(which));
+    CHECK(health.rightOf(which, ms(2300)) == placement_right::free);
+}
+
+TEST_CASE("upstream_health: several silences needed: an answer between them starts anew")
+{
+    upstream_health health;
+    for (int count = 0; count < 4; ++count) {
+        health.onSilence(which, ms(count), 5);
+    }
+    health.onAnswered(which, ms(5));
+    for (int count = 0; count < 4; ++count) {
+        health.onSilence(which, ms(10 + count), 5);
+    }
+    CHECK(health.rightOf(which, ms(20)) == placement_right::free);
+    health.onSilence(which, ms(21), 5);
+    CHECK(health.rightOf(which, ms(22)) == placement_right::avoid);
+}
+
+TEST_CASE("upstream_health: another host ejects it: avoided here, tried by the owner")
+{
+    upstream_health health;
+    SUBCASE("not the owner")
+    {
+        health.onReported(which, false, ms(0));
+        CHECK(health.rightOf(which, ms(1)) == placement_right::avoid);
+        CHECK_FALSE(health.isEjected(which));
+    }
+    SUBCASE("the owner")
+    {
+        health.onReported(which, true, ms(0));
+        CHECK(health.isEjected(which));
+    }
+    SUBCASE("answered here a moment ago")
+    {
+        health.onAnswered(which, ms(0));
+        health.onReported(which, true, ms(10));
+        CHECK(health.rightOf(which, ms(11)) == placement_right::free);
+    }
+}
+
+TEST_CASE_FIXTURE(silent_twice,
+                  "upstream_health: the owner of trials clears it: free, not before it could know")
+{
+    health.onCleared(which, ms(100));
+    CHECK(health.isEjected(which));
+    health.onCleared(which, ms(600));
+    CHECK(health.rightOf(which, ms(601)) == placement_right::free);
+}
+
+TEST_CASE_FIXTURE(silent_twice, "upstream_health: started anew: nothing is held against it")
+{
+    health.reset(which);
+    CHECK(health.rightOf(which, ms(20)) == placement_right::free);
+}
--- /dev/null
+++ b/tests/core/view_feed_test.cpp
@@ -0,0 +1,118 @@
+#include "figstair/core/view_feed.h"
+
+#include <doctest/doctest.h>
+
+using namespace figstair;
+
+namespace {
+
+monotonic_time ms(std::int64_t value)
+{
+    return monotonic_time(milliseconds(100000 + value));
+}
+
+/// A feed that has listed the store at revision 50 at time 0.
+struct listed_feed
+{
+    listed_feed()
+    {
+        CHECK(feed.nextCall(ms(0), 0).what == feed_call::kind::list);
+        feed.onListed(50, ms(0));
+    }
+
+    view_feed feed{1};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: first-ranked host: waits for changes, one call at a time")
+{
+    const feed_call call = feed.nextCall(ms(1), 0);
+    CHECK(call.what == feed_call::kind::watch);
+    CHECK(call.after == 50);
+    CHECK(feed.nextCall(ms(2), 0).what == feed_call::kind::none);
+    feed.onWatched(53, ms(300));
+    CHECK(feed.nextCall(ms(301), 0).after == 53);
+}
+
+TEST_CASE_FIXTURE(listed_feed, "view_feed: another host: reads only when what it hears is too old")
+{
+    CHECK(feed.nextCall(ms(1000), 1).what == feed_call::kind::none);
+    feed.onPeerView(50, milliseconds(100), ms(1000));
+    CHECK(feed.nextCall(ms(2000), 1).what == feed_call::kind::none);
+    CHECK(feed.nextCall(ms(2600), 1).what == feed_call::kind::watch);
+}
+
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: nobody passes anything on: read within the tightest bound")
+{
+    // Any host must know of a change 3 s after the store's word of it, a call's time included.
+    std::int64_t now = 0;
+    while (feed.nextCall(ms(now), 8).what == feed_call::kind::none) {
+        now += 10;
+    }
+    CHECK(now + 900 < 3000);
+}
+
+TEST_CASE_FIXTURE(listed_feed, "view_feed: changes passed on: applied without a gap only")
+{
+    CHECK(feed.onPassedOn(50, 52, milliseconds(5), milliseconds(0), ms(100)));
+    CHECK(feed.revision() == 52);
+    CHECK_FALSE(feed.onPassedOn(53, 54, milliseconds(5), milliseconds(0), ms(110)));
+    CHECK(feed.revision() == 52);
+    CHECK_FALSE(feed.onPassedOn(50, 52, milliseconds(5), milliseconds(0), ms(120)));
+    CHECK(feed.onPassedOn(51, 55, milliseconds(5), milliseconds(0), ms(130)));
+    CHECK(feed.revision() == 55);
+}
+
+TEST_CASE_FIXTURE(listed_feed, "view_feed: others are ahead: asked, then read from the store")
+{
+    feed.onPeerView(60, milliseconds(0), ms(100));
+    CHECK_FALSE(feed.takePull(ms(110)));
+    CHECK(feed.takePull(ms(230)));
+    CHECK_FALSE(feed.takePull(ms(240)));
+    CHECK(feed.nextCall(ms(300), 3).what == feed_call::kind::none);
+    CHECK(feed.nextCall(ms(600), 3).what == feed_call::kind::watch);
+    feed.onWatched(60, ms(610));
+    CHECK_FALSE(feed.takePull(ms(900)));
+}
+
+TEST_CASE_FIXTURE(listed_feed, "view_feed: history gone: listed again at once")
+{
+    feed.nextCall(ms(1), 0);
+    feed.onFailed(true, ms(5));
+    CHECK(feed.nextCall(ms(5), 0).what == feed_call::kind::list);
+}
+
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: calls fail: tried with growing pauses, grace after the first answer")
+{
+    std::int64_t now = 10;
+    std::int64_t last = now;
+    int calls = 0;
+    while (now < 5010) {
+        if (feed.nextCall(ms(now), 0).what != feed_call::kind::none) {
+            ++calls;
+            CHECK(now - last <= 1610);
+            last = now;
+            feed.onFailed(false, ms(now));
+        }
+        now += 10;
+    }
+    CHECK(calls >= 4);
+    CHECK(calls <= 15);
+    while (feed.nextCall(ms(now), 0).what == feed_call::kind::none) {
+        now += 10;
+    }
+    feed.onWatched(70, ms(now));
+    // Entries that lapsed are back within about two seconds of the store's return.
+    CHECK(feed.graceUntil() >= ms(now + 2000));
+    CHECK(feed.graceUntil() <= ms(now + 2500));
+}
+
+TEST_CASE_FIXTURE(listed_feed, "view_feed: a host passes on its grace: it holds here too")
+{
+    CHECK(feed.onPassedOn(50, 52, milliseconds(5), milliseconds(1500), ms(100)));
+    CHECK(feed.graceUntil() == ms(1600));
+}
