--- /dev/null
+++ b/tests/core/entry_core_test.cpp
@@ -0,0 +1,422 @@
+#include "figstair/core/entry_core.h"
+
+#include <algorithm>
+#include <array>
+
+#include <doctest/doctest.h>
+
+using namespace figstair;
+
+namespace {
+
+constexpr std::uint32_t routeAddress = 0xC6120001;
+constexpr std::uint16_t routePort = 443;
+constexpr std::uint32_t callerAddress = 0x64400007;
+
+class manual_clock : public clock_source
+{
+public:
+    monotonic_time monotonic() const override { return now; }
+    wall_time wall() const override { return wall_time(now.time_since_epoch()); }
+
+    monotonic_time now{milliseconds(100000)};
+};
+
+class recording_output : public entry_output
+{
+public:
+    struct forwarded
+    {
+        std::uint64_t upstream;
+        std::uint8_t mark; ///< first byte of the packet
+    };
+
+    void forward(byte_view packet, const known_upstream &upstream) override
+    {
+        sent.push_back(forwarded{upstream.entry.id, packet.empty() ? std::uint8_t{0} : packet[0]});
+    }
+    void reset(const flow_id &, std::uint32_t sequence) override { resets.push_back(sequence); }
+    void sendToPeer(const endpoint &, byte_view) override { }
+    void logEvent(std::string_view name, event_fields) override { events.emplace_back(name); }
+    void count(entry_counter which, std::uint64_t amount) override
+    {
+        counts[static_cast<std::size_t>(which)] += amount;
+    }
+    void observe(entry_distribution, milliseconds) override { }
+
+    std::uint64_t counted(entry_counter which) const
+    {
+        return counts[static_cast<std::size_t>(which)];
+    }
+
+    std::vector<forwarded> sent;
+    std::vector<std::uint32_t> resets;
+    std::vector<std::string> events;
+    std::array<std::uint64_t, static_cast<std::size_t>(entry_counter::count)> counts{};
+};
+
+entry_settings hostSettings()
+{
+    entry_settings settings;
+    settings.self = host_record{"h1", "here", {}, 1};
+    return settings;
+}
+
+/// A host that has settled, with four upstreams in its zone.
+struct settled_host
+{
+    settled_host()
+    {
+        core.onListing(listing(1), 100);
+        pass(2000);
+    }
+
+    static route_config config(std::uint64_t version, bool hasRoute = true)
+    {
+        route_config result;
+        result.version = version;
+        if (hasRoute) {
+            result.routes.push_back(route{"r",
+                                          routeAddress,
+                                          routePort,
+                                          {{"desk", 1}},
+                                          milliseconds(4000),
+                                          milliseconds(250),
+                                          0});
+        }
+        return result;
+    }
+    static record_change configChange(const route_config &content, std::uint64_t revision)
+    {
+        record_change change;
+        change.revision = revision;
+        change.content = content;
+        return change;
+    }
+    static record_change upstreamChange(std::uint64_t id, std::uint64_t revision,
+                                        bool isDraining = false, std::int64_t bornMs = 1)
+    {
+        upstream_record entry;
+        entry.id = id;
+        entry.service = "desk";
+        entry.zone = "here";
+        entry.slots = 2;
+        entry.isDraining = isDraining;
+        entry.bornMs = bornMs;
+        record_change change;
+        change.kind = record_kind::upstream;
+        change.upstreamId = id;
+        change.revision = revision;
+        change.content = entry;
+        return change;
+    }
+    static std::vector<record_change> listing(std::uint64_t version)
+    {
+        std::vector<record_change> records{configChange(config(version), 50)};
+        for (std::uint64_t id = 1; id <= 4; ++id) {
+            records.push_back(upstreamChange(id, 50 + id));
+        }
+        return records;
+    }
+
+    void pass(std::int64_t time)
+    {
+        const monotonic_time end = clock.now + milliseconds(time);
+        while (clock.now < end) {
+            clock.now += milliseconds(5);
+            core.tick();
+        }
+    }
+    static flow_packet packetOf(std::uint16_t port)
+    {
+        flow_packet packet;
+        packet.flow = flow_id{callerAddress, routeAddress, port, routePort};
+        packet.sequence = 1;
+        return packet;
+    }
+    void give(const flow_packet &packet, std::uint8_t mark = 1)
+    {
+        const std::vector<std::uint8_t> bytes{mark};
+        core.onPacket(packet, bytes);
+    }
+    void open(std::uint16_t port, std::uint32_t copy = 0)
+    {
+        flow_packet packet = packetOf(port);
+        packet.opens = true;
+        packet.acknowledged = copy;
+        give(packet);
+    }
+    flow_packet later(std::uint16_t port, std::uint64_t upstream)
+    {
+        flow_packet packet = packetOf(port);
+        packet.acknowledges = true;
+        packet.sequence = 2;
+        packet.acknowledged = 1;
+        packet.upstreamTag = upstreamTag(upstream);
+        return packet;
+    }
+    /// Opens a flow, has it acknowledged, and returns its upstream.
+    std::uint64_t established(std::uint16_t port)
+    {
+        open(port);
+        const std::uint64_t upstream = output.sent.back().upstream;
+        give(later(port, upstream));
+        return upstream;
+    }
+
+    manual_clock clock;
+    recording_output output;
+    entry_core core{hostSettings(), clock, 1, output};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(settled_host, "entry_core: an opening packet: goes to one upstream")
+{
+    open(1);
+    CHECK(output.sent.size() == 1);
+    CHECK(output.counted(entry_counter::flowsPlaced) == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host, "entry_core: an opening packet without a route: reset at once")
+{
+    flow_packet packet = packetOf(1);
+    packet.opens = true;
+    packet.flow.routePort = 9;
+    give(packet);
+    CHECK(output.sent.empty());
+    CHECK(output.resets.size() == 1);
+}
+
+TEST_CASE("entry_core: before the first view: nothing is sent, nothing is reset")
+{
+    manual_clock clock;
+    recording_output output;
+    entry_core core(hostSettings(), clock, 1, output);
+    flow_packet packet = settled_host::packetOf(1);
+    packet.opens = true;
+    const std::vector<std::uint8_t> bytes{1};
+    core.onPacket(packet, bytes);
+    packet.opens = false;
+    packet.acknowledges = true;
+    packet.upstreamTag = upstreamTag(1);
+    core.onPacket(packet, bytes);
+    CHECK(output.sent.empty());
+    CHECK(output.resets.empty());
+}
+
+TEST_CASE_FIXTURE(settled_host, "entry_core: a service without upstreams: refused at once")
+{
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        core.onChange(upstreamChange(id, 200 + id, true));
+    }
+    open(1);
+    CHECK(output.sent.empty());
+    CHECK(output.resets.size() == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: a later packet seen here first: goes where its tag says")
+{
+    give(later(1, 3));
+    REQUIRE(output.sent.size() == 1);
+    CHECK(output.sent.front().upstream == 3);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: an upstream drains or leaves: packets of its flows still reach it")
+{
+    const std::uint64_t upstream = established(1);
+    core.onChange(upstreamChange(upstream, 300, true));
+    give(later(1, upstream));
+    CHECK(output.sent.back().upstream == upstream);
+    record_change gone = upstreamChange(upstream, 301);
+    gone.content = record_change::removed{};
+    core.onChange(gone);
+    give(later(1, upstream));
+    CHECK(output.sent.back().upstream == upstream);
+    open(2);
+    CHECK(output.sent.back().upstream != upstream);
+}
+
+TEST_CASE_FIXTURE(settled_host, "entry_core: an unknown tag: dropped and counted")
+{
+    flow_packet packet = later(1, 1);
+    packet.upstreamTag = 42;
+    give(packet);
+    CHECK(output.sent.empty());
+    CHECK(output.resets.empty());
+    CHECK(output.counted(entry_counter::packetsWithUnknownTag) == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: an opening packet that acknowledges: dropped as reflected")
+{
+    flow_packet packet = packetOf(1);
+    packet.opens = true;
+    packet.acknowledges = true;
+    give(packet);
+    CHECK(output.sent.empty());
+    CHECK(output.counted(entry_counter::packetsReflected) == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: an older configuration comes: the newer stays in force")
+{
+    core.onChange(configChange(config(9), 400));
+    core.onChange(configChange(config(8, false), 401));
+    CHECK(core.configVersion() == 9);
+    open(1);
+    CHECK(output.sent.size() == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: a configuration drops the route: open flows of it are reset")
+{
+    const std::uint64_t upstream = established(1);
+    core.onChange(configChange(config(9, false), 400));
+    const std::size_t before = output.sent.size();
+    give(later(1, upstream));
+    CHECK(output.sent.size() == before);
+    CHECK(output.resets.size() == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: an opening packet unanswered: sent to a second upstream in time")
+{
+    open(1);
+    pass(60);
+    REQUIRE(output.sent.size() == 2);
+    CHECK(output.sent[0].upstream != output.sent[1].upstream);
+    pass(100);
+    CHECK(output.sent.size() == 2);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: the first of two upstreams answers after all: packets go there")
+{
+    open(1);
+    pass(60);
+    REQUIRE(output.sent.size() == 2);
+    const std::uint64_t first = output.sent[0].upstream;
+    const std::uint64_t second = output.sent[1].upstream;
+    give(later(1, first));
+    CHECK(output.sent.back().upstream == first);
+    // A late answer of the second one changes what the caller echoes, not where its flow is open.
+    give(later(1, second));
+    CHECK(output.sent.back().upstream == first);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: the host froze: missing answers are held against nobody")
+{
+    open(1);
+    clock.now += milliseconds(3000);
+    core.onFreeze();
+    core.tick();
+    CHECK(output.sent.size() == 1);
+    CHECK(std::find(output.events.begin(), output.events.end(), "upstream_silent")
+          == output.events.end());
+    for (const load_row &row : core.makeReport().rows) {
+        CHECK_FALSE(row.isEjected);
+    }
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: the rotation changes: an unanswered opening is not repeated")
+{
+    peer_report report;
+    report.sender = host_record{"h2", "here", {}, 1};
+    core.onPeerReport(report);
+    open(1);
+    pass(100);
+    CHECK(output.sent.size() == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: a flow of another host ends here: no request stays counted")
+{
+    give(later(1, 1));
+    flow_packet last = later(1, 1);
+    last.ends = true;
+    give(last);
+    CHECK(core.loads().open(core.directory().findTag(upstreamTag(1))) == 0);
+}
+
+TEST_CASE_FIXTURE(
+    settled_host,
+    "entry_core: upstreams are full: new flows wait here, the first free slot gets one")
+{
+    for (std::uint16_t port = 1; port <= 40; ++port) {
+        open(port);
+    }
+    const std::size_t placed = output.sent.size();
+    CHECK(placed < 40);
+    CHECK(output.counted(entry_counter::flowsHeld) == 40 - placed);
+    const std::uint64_t upstream = output.sent.front().upstream;
+    flow_packet end = later(1, upstream);
+    end.ends = true;
+    give(end);
+    pass(10);
+    CHECK(output.counted(entry_counter::flowsPlaced) == placed + 1);
+}
+
+TEST_CASE_FIXTURE(settled_host, "entry_core: a copy of a held opening packet: is not held twice")
+{
+    for (std::uint16_t port = 1; port <= 40; ++port) {
+        open(port);
+    }
+    const std::uint64_t held = output.counted(entry_counter::flowsHeld);
+    open(40, 1);
+    CHECK(output.counted(entry_counter::flowsHeld) == held);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: an upstream starts anew under its id: old requests are forgotten")
+{
+    const std::uint64_t upstream = established(1);
+    const upstream_index index = core.directory().findTag(upstreamTag(upstream));
+    CHECK(core.loads().open(index) == 1);
+    core.onChange(upstreamChange(upstream, 300, false, 2));
+    CHECK(core.loads().open(index) == 0);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: a host that ejects nearly all upstreams: is not believed")
+{
+    peer_report report;
+    report.sender = host_record{"h2", "here", {}, 1};
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        report.rows.push_back(load_row{upstreamTag(id), 0, 0, true});
+    }
+    core.onPeerReport(report);
+    for (const load_row &row : core.makeReport().rows) {
+        CHECK_FALSE(row.isEjected);
+    }
+    open(1);
+    CHECK(output.sent.size() == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: leaving: is said in reports, packets are still carried")
+{
+    core.leave();
+    CHECK(core.makeReport().isLeaving);
+    open(1);
+    CHECK(output.sent.size() == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: 86 hosts: reports to a bounded number, at a bounded rate")
+{
+    for (int number = 2; number <= 86; ++number) {
+        peer_report report;
+        report.sender =
+            host_record{"h" + std::to_string(number), number % 3 == 0 ? "here" : "there",
+                        endpoint{{}, static_cast<std::uint16_t>(number)}, 1};
+        core.onPeerReport(report);
+    }
+    const double targets = double(core.reportTargets().size());
+    CHECK(targets <= 40);
+    CHECK(targets / (double(core.reportInterval().count()) / 1000) <= 130);
+}
--- /dev/null
+++ b/tests/platform/record_format_test.cpp
@@ -0,0 +1,169 @@
+#include "platform/record_format.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include "figstair/store/base64.h"
+
+using namespace figstair;
+using nlohmann::json;
+
+namespace {
+
+json item(const std::string &key, const std::string &value)
+{
+    return json{{"key", key}, {"value", toBase64(value)}, {"revision", 5}};
+}
+
+record_change decoded(const std::string &key, const std::string &value)
+{
+    const auto change = platform::decodeItem(item(key, value));
+    REQUIRE(change.has_value());
+    return *change;
+}
+
+json goodEntry()
+{
+    return json{{"service", "s"},
+                {"address", "10.0.0.9:8080"},
+                {"zone", "z"},
+                {"version", "v1"},
+                {"concurrency", 4},
+                {"state", "ready"},
+                {"warmup-left-ms", 1500},
+                {"seq", 4},
+                {"born", 1700000000123}};
+}
+
+bool isReadable(const json &entry)
+{
+    return std::holds_alternative<upstream_record>(
+        decoded("servers/i-00000000000000ff", entry.dump()).content);
+}
+
+} // namespace
+
+TEST_CASE("record_format: an entry of an upstream: all that matters is read")
+{
+    const record_change change = decoded("servers/i-7f3a91c2", goodEntry().dump());
+    CHECK(change.kind == record_kind::upstream);
+    CHECK(change.upstreamId == 0x7f3a91c2);
+    CHECK(change.revision == 5);
+    const auto &entry = std::get<upstream_record>(change.content);
+    CHECK(entry.service == "s");
+    CHECK(entry.slots == 4);
+    CHECK_FALSE(entry.isDraining);
+    CHECK(entry.coldFor == milliseconds(1500));
+    CHECK(entry.bornMs == 1700000000123);
+}
+
+TEST_CASE("record_format: an entry of another writer: is unreadable, not an error")
+{
+    CHECK(isReadable(goodEntry()));
+    for (const char *field :
+         {"service", "address", "zone", "concurrency", "state", "warmup-left-ms"}) {
+        json entry = goodEntry();
+        entry.erase(field);
+        CHECK_FALSE(isReadable(entry));
+        entry[field] = json::array({1});
+        CHECK_FALSE(isReadable(entry));
+        entry[field] = nullptr;
+        CHECK_FALSE(isReadable(entry));
+    }
+    json entry = goodEntry();
+    entry["state"] = "resting";
+    CHECK_FALSE(isReadable(entry));
+    entry = goodEntry();
+    entry["concurrency"] = 0;
+    CHECK_FALSE(isReadable(entry));
+    entry["concurrency"] = -3;
+    CHECK_FALSE(isReadable(entry));
+    entry = goodEntry();
+    entry["address"] = "nowhere";
+    CHECK_FALSE(isReadable(entry));
+    CHECK_FALSE(std::holds_alternative<upstream_record>(
+        decoded("servers/i-1", std::string("\xff\x00{", 3)).content));
+}
+
+TEST_CASE("record_format: keys that are not figstair's: are passed over")
+{
+    CHECK_FALSE(platform::decodeItem(item("status/x", "1")).has_value());
+    CHECK_FALSE(platform::decodeItem(item("servers/not hex!", "{}")).has_value());
+    CHECK_FALSE(platform::decodeItem(item("op/other", "{}")).has_value());
+}
+
+TEST_CASE("record_format: a configuration: routes with one service and with weights")
+{
+    const json config{
+        {"version", 12},
+        {"routes",
+         {{{"name", "a"},
+           {"host", "198.18.0.1"},
+           {"prefix", "/8443/"},
+           {"service", "s"},
+           {"aim-ms", 250},
+           {"priority", 2},
+           {"timeout-ms", 4000}},
+          {{"name", "b"},
+           {"host", "198.18.0.1"},
+           {"prefix", "/80/"},
+           {"weighted-backends",
+            {{{"service", "s"}, {"weight", 90}}, {{"service", "t"}, {"weight", 10}}}}}}},
+        {"services",
+         {{{"name", "s"}, {"max-conns", 2000}, {"warmup-s", 2.5}, {"warmup-per-s", 3.5}}}},
+        {"limits", {{"idle-timeout-ms", 15000}}}};
+    const record_change change = decoded("op/config", config.dump());
+    const auto &content = std::get<route_config>(change.content);
+    CHECK(content.version == 12);
+    REQUIRE(content.routes.size() == 2);
+    CHECK(content.routes[0].address == 0xC6120001);
+    CHECK(content.routes[0].port == 8443);
+    CHECK(content.routes[0].aim == milliseconds(250));
+    CHECK(content.routes[1].services.size() == 2);
+    CHECK(content.services.at(0).warmup == milliseconds(2500));
+    CHECK(content.services.at(0).coldRequestsPerSecond == doctest::Approx(3.5));
+    CHECK(content.idleTimeout == milliseconds(15000));
+}
+
+TEST_CASE("record_format: a configuration that cannot be read: is unreadable")
+{
+    for (const char *text :
+         {"", "[]", "{\"version\":1}", "{\"version\":\"x\",\"routes\":[],\"services\":[]}",
+          "{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"x\"}],\"services\":[]}"}) {
+        CHECK(
+            std::holds_alternative<record_change::unreadable>(decoded("op/config", text).content));
+    }
+}
+
+TEST_CASE("record_format: an evacuation: names its zone, whatever its value")
+{
+    const record_change change = decoded("op/evacuate/north-1", "?");
+    CHECK(change.kind == record_kind::evacuation);
+    CHECK(change.name == "north-1");
+    CHECK(std::holds_alternative<zone_evacuation>(change.content));
+}
+
+TEST_CASE("record_format: a host's announcement and the shared key: read back as written")
+{
+    host_record host{"h", "z", *parseEndpoint("10.0.0.1:7720"), 17};
+    const record_change change = decoded(platform::hostKey("h"), platform::encodeHost(host));
+    const auto &back = std::get<host_record>(change.content);
+    CHECK(back.name == "h");
+    CHECK(back.zone == "z");
+    CHECK(back.incarnation == 17);
+    CHECK((back.peerAddress == host.peerAddress));
+    shared_key key;
+    key.key[3] = 200;
+    const record_change keyChange =
+        decoded(std::string(platform::sharedKeyKey()), platform::encodeSharedKey(key));
+    CHECK(std::get<shared_key>(keyChange.content).key == key.key);
+}
+
+TEST_CASE("record_format: a removal: has no content")
+{
+    const auto change =
+        platform::decodeItem(json{{"key", "servers/i-ff"}, {"revision", 9}, {"removed", true}});
+    REQUIRE(change.has_value());
+    CHECK(std::holds_alternative<record_change::removed>(change->content));
+    CHECK(change->upstreamId == 0xff);
+}
--- /dev/null
+++ b/tests/wire/entry_message_test.cpp
@@ -0,0 +1,139 @@
+#include "figstair/wire/entry_message.h"
+
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "errors.h"
+
+using namespace figstair;
+
+namespace {
+
+constexpr peer_key key{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16};
+
+entry_message decoded(const byte_buffer &bytes)
+{
+    return valueOf([&] { return decodeEntryMessage(key, bytes); });
+}
+
+view_changes someChanges()
+{
+    view_changes changes;
+    changes.after = 7;
+    changes.revision = 12;
+    changes.age = milliseconds(15);
+    changes.grace = milliseconds(900);
+    record_change change;
+    change.revision = 8;
+    route_config config;
+    config.version = 3;
+    config.routes.push_back(
+        route{"r", 5, 443, {{"a", 9}, {"b", 1}}, milliseconds(4000), milliseconds(250), 2});
+    config.services.push_back(service_limits{"a", 2000, milliseconds(2000), 1.5});
+    config.idleTimeout = milliseconds(15000);
+    change.content = config;
+    changes.records.push_back(change);
+    change.kind = record_kind::upstream;
+    change.upstreamId = 77;
+    upstream_record upstream;
+    upstream.id = 77;
+    upstream.service = "a";
+    upstream.zone = "z";
+    upstream.slots = 4;
+    upstream.bornMs = 1700000000000;
+    change.content = upstream;
+    changes.records.push_back(change);
+    change.content = record_change::unreadable{"broken"};
+    changes.records.push_back(change);
+    change.content = record_change::removed{};
+    changes.records.push_back(change);
+    change.kind = record_kind::evacuation;
+    change.name = "z";
+    change.content = zone_evacuation{};
+    changes.records.push_back(change);
+    change.kind = record_kind::host;
+    change.content = host_record{"z", "zone", {}, 3};
+    changes.records.push_back(change);
+    change.kind = record_kind::key;
+    change.content = shared_key{key};
+    changes.records.push_back(change);
+    return changes;
+}
+
+} // namespace
+
+TEST_CASE("entry_message: a report: reads back as written")
+{
+    peer_report report;
+    report.sender = host_record{"h", "z", *parseEndpoint("10.0.0.1:7720"), 9};
+    report.sequence = 4;
+    report.isLeaving = true;
+    report.viewRevision = 99;
+    report.viewAge = milliseconds(120);
+    report.configVersion = 6;
+    report.rows = {{1, 2, 3, true}, {4000000000U, 65535, 32767, false}};
+    const auto back = std::get<peer_report>(decoded(encodeEntryMessage(key, report)));
+    CHECK(back.sender.name == "h");
+    CHECK((back.sender.peerAddress == report.sender.peerAddress));
+    CHECK(back.isLeaving);
+    CHECK(back.viewRevision == 99);
+    CHECK(back.viewAge == milliseconds(120));
+    CHECK(back.rows == report.rows);
+}
+
+TEST_CASE("entry_message: changes of every kind: read back as written")
+{
+    const view_changes changes = someChanges();
+    const auto back = std::get<view_changes>(decoded(encodeEntryMessage(key, changes)));
+    CHECK(back.after == 7);
+    CHECK(back.revision == 12);
+    CHECK(back.grace == milliseconds(900));
+    REQUIRE(back.records.size() == changes.records.size());
+    for (std::size_t index = 0; index < changes.records.size(); ++index) {
+        CHECK(back.records[index].content.index() == changes.records[index].content.index());
+        CHECK(back.records[index].kind == changes.records[index].kind);
+    }
+    const auto &config = std::get<route_config>(back.records[0].content);
+    CHECK(config.routes.at(0).services.at(1).service == "b");
+    CHECK(config.services.at(0).coldRequestsPerSecond == doctest::Approx(1.5));
+    CHECK(std::get<upstream_record>(back.records[1].content).bornMs == 1700000000000);
+}
+
+TEST_CASE("entry_message: another key, a changed byte, a cut message: refused")
+{
+    byte_buffer bytes = encodeEntryMessage(key, view_pull{5, {}});
+    peer_key other = key;
+    other[0] ^= 1U;
+    CHECK(
+        errorOf<entry_message_error>([&] { return decodeEntryMessage(other, bytes); }).has_value());
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        const byte_buffer cut(bytes.begin(), bytes.begin() + std::ptrdiff_t(size));
+        CHECK_FALSE(succeeds([&] { return decodeEntryMessage(key, cut); }));
+    }
+    bytes[2] ^= 1U;
+    CHECK_FALSE(succeeds([&] { return decodeEntryMessage(key, bytes); }));
+}
+
+TEST_CASE("entry_message: random content with a valid code: refused or read, never a crash")
+{
+    std::mt19937 random(1);
+    const byte_buffer whole = encodeEntryMessage(key, someChanges());
+    for (int round = 0; round < 3000; ++round) {
+        byte_buffer bytes(whole.begin(), whole.end() - std::ptrdiff_t(peerMacBytes));
+        const unsigned changes = 1 + random() % 4;
+        for (unsigned change = 0; change < changes; ++change) {
+            bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+        }
+        bytes.resize(1 + random() % bytes.size());
+        signPeerDatagram(key, bytes);
+        (void)succeeds([&] { return decodeEntryMessage(key, bytes); });
+    }
+    CHECK(succeeds([&] { return decodeEntryMessage(key, whole); }));
+}
+
+TEST_CASE("entry_message: larger than the bound: refused")
+{
+    byte_buffer bytes(mostEntryMessageBytes + 1);
+    CHECK_FALSE(succeeds([&] { return decodeEntryMessage(key, bytes); }));
+}
