Judge silent upstreams by all hosts' answers while flows move between hosts

Change: reports say which upstreams answered; an unanswered opening is judged after the next reports. The slowness in a report's row has 14 bits now, the 15th is the new one.

--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -83,6 +83,7 @@
         flow_id flow;
         monotonic_time sentAt{};
         std::vector<std::uint8_t> opening; ///< the packet, to be sent again elsewhere
+        bool isRechecked = false; ///< waited for other hosts' reports already
     };
 
     void onOpening(const flow_packet &packet, byte_view bytes);
@@ -98,7 +99,8 @@
     void noteAnswer(const flow_packet &packet, flow_record &record);
     void noteRequest(const flow_packet &packet, flow_record &record);
     void settle(flow_record &record);
-    void repeatUnanswered(const pending_answer &pending);
+    void repeatUnanswered(pending_answer pending);
+    void runPending(std::deque<pending_answer> &queue, monotonic_time now);
     void releaseHeld();
     void sweepFlows();
     void judgeSilence(upstream_index upstream, const flow_id &flow, std::string_view what);
@@ -121,11 +123,13 @@
     held_flows m_held;
     service_times m_times;
     std::deque<pending_answer> m_pending;
+    std::deque<pending_answer> m_rechecks;
     monotonic_time m_startedAt;
     monotonic_time m_nextSweep{};
     monotonic_time m_nextRelease{};
     monotonic_time m_lastPacketAt{};
     monotonic_time m_ignoreSilenceUntil{};
+    monotonic_time m_lastReportAt{};
     std::uint64_t m_reportSequence = 0;
     bool m_isLeaving = false;
 };
--- a/include/figstair/core/load_board.h
+++ b/include/figstair/core/load_board.h
@@ -19,11 +19,12 @@
     std::uint16_t openRequests = 0; ///< flows it placed or saw that wait for an answer
     std::uint16_t slowness = 0; ///< measured time over the expected one, in 1/16; 0: not measured
     bool isEjected = false;
+    bool hasAnswered = false; ///< something came from it since the host's last report
 
     bool operator==(const load_row &other) const
     {
         return tag == other.tag && openRequests == other.openRequests && slowness == other.slowness
-            && isEjected == other.isEjected;
+            && isEjected == other.isEjected && hasAnswered == other.hasAnswered;
     }
 };
 
--- a/include/figstair/core/upstream_health.h
+++ b/include/figstair/core/upstream_health.h
@@ -27,9 +27,17 @@
     /// A caller acknowledged something new from the upstream.
     void onAnswered(upstream_index upstream, monotonic_time now);
 
-    /// A flow got no answer in time. @p needed: how many of these in a row, without any answer in
-    /// between, count as one piece of evidence.
-    void onSilence(upstream_index upstream, monotonic_time now, unsigned needed);
+    /// Another host had an answer from the upstream at about @p when.
+    void onAnsweredElsewhere(upstream_index upstream, monotonic_time when);
+
+    /// When anything was last known to come from the upstream.
+    monotonic_time lastAnswer(upstream_index upstream) const;
+
+    /// The same, counting only what came by way of this host.
+    monotonic_time lastOwnAnswer(upstream_index upstream) const;
+
+    /// A flow got no answer in time.
+    void onSilence(upstream_index upstream, monotonic_time now);
 
     /// Another host ejected the upstream. @p ownsTrials: it is on this host to try it.
     void onReported(upstream_index upstream, bool ownsTrials, monotonic_time now);
@@ -65,9 +73,9 @@
         monotonic_time stateEnds{};
         monotonic_time stateSince{};
         monotonic_time lastAnswer{};
+        monotonic_time lastOwnAnswer{};
         monotonic_time nextTrial{};
         milliseconds backoff{0};
-        unsigned silences = 0; ///< in a row
     };
 
     record &at(upstream_index upstream);
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -1,6 +1,7 @@
 #include "figstair/core/entry_core.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -69,8 +70,9 @@
 /// two readiness checks, half a second apart, pass until all of them follow.
 constexpr milliseconds rotationSettleTime{1600};
 
-/// Meanwhile a handshake that seems unanswered was mostly acknowledged through another host.
-constexpr unsigned silencesWhileUnsteady = 5;
+/// Meanwhile a handshake that seems unanswered may have been acknowledged through another host: its
+/// upstream is judged after the other hosts' next reports have come.
+constexpr milliseconds reportDelay{115};
 
 /// Slowness beyond which a sample is logged.
 constexpr double noteworthyRatio = 4.0;
@@ -440,8 +442,7 @@
 void entry_core::judgeSilence(upstream_index upstream, const flow_id &flow, std::string_view what)
 {
     const bool wasEjected = m_health.isEjected(upstream);
-    const monotonic_time now = m_clock.monotonic();
-    m_health.onSilence(upstream, now, isRotationSteady() ? 1 : silencesWhileUnsteady);
+    m_health.onSilence(upstream, m_clock.monotonic());
     const bool isEjected = m_health.isEjected(upstream);
     m_output.logEvent("upstream_silent",
                       {{"flow", toText(flow)},
@@ -459,7 +460,7 @@
     return now - std::max(m_startedAt, m_roster.changedAt()) >= rotationSettleTime;
 }
 
-void entry_core::repeatUnanswered(const pending_answer &pending)
+void entry_core::repeatUnanswered(pending_answer pending)
 {
     flow_record *record = m_flows.find(pending.flow);
     const monotonic_time now = m_clock.monotonic();
@@ -470,12 +471,21 @@
     if (now < m_ignoreSilenceUntil) {
         return;
     }
-    judgeSilence(record->upstream, pending.flow, "opening_unanswered");
     if (!isRotationSteady()) {
-        // The flow most likely goes on through another host, which counts it from now on.
-        settle(*record);
-        return;
+        if (m_health.lastAnswer(record->upstream) >= pending.sentAt) {
+            // The upstream answers, so the flow most likely goes on through another host, which
+            // counts it from now on.
+            settle(*record);
+            return;
+        }
+        if (!pending.isRechecked) {
+            pending.isRechecked = true;
+            pending.due = now + reportDelay;
+            m_rechecks.push_back(std::move(pending));
+            return;
+        }
     }
+    judgeSilence(record->upstream, pending.flow, "opening_unanswered");
     settle(*record);
     const route *route = m_routes.find(pending.flow);
     if (record->wasRepeated || route == nullptr) {
@@ -488,6 +498,15 @@
     }
 }
 
+void entry_core::runPending(std::deque<pending_answer> &queue, monotonic_time now)
+{
+    while (!queue.empty() && queue.front().due <= now) {
+        pending_answer pending = std::move(queue.front());
+        queue.pop_front();
+        repeatUnanswered(std::move(pending));
+    }
+}
+
 void entry_core::releaseHeld()
 {
     const monotonic_time now = m_clock.monotonic();
@@ -529,11 +548,8 @@
 void entry_core::tick()
 {
     const monotonic_time now = m_clock.monotonic();
-    while (!m_pending.empty() && m_pending.front().due <= now) {
-        const pending_answer pending = std::move(m_pending.front());
-        m_pending.pop_front();
-        repeatUnanswered(pending);
-    }
+    runPending(m_pending, now);
+    runPending(m_rechecks, now);
     if (!m_held.isEmpty() && now >= m_nextRelease) {
         m_nextRelease = now + releaseInterval;
         releaseHeld();
@@ -584,6 +600,9 @@
     if (!m_pending.empty()) {
         next = std::min(next, m_pending.front().due);
     }
+    if (!m_rechecks.empty()) {
+        next = std::min(next, m_rechecks.front().due);
+    }
     if (!m_held.isEmpty()) {
         next = std::min(next, m_nextRelease);
     }
@@ -679,6 +698,10 @@
     const bool isCredible = ejected * 2 <= m_directory.size();
     for (const load_row &row : report.rows) {
         const upstream_index upstream = m_directory.findTag(row.tag);
+        if (upstream != noUpstream && row.hasAnswered) {
+            // At the latest when the report was sent, at the earliest one interval before.
+            m_health.onAnsweredElsewhere(upstream, now - leastReportInterval / 2);
+        }
         if (upstream == noUpstream || !row.isEjected || !isCredible) {
             continue;
         }
@@ -746,22 +769,27 @@
     report.sequence = ++m_reportSequence;
     report.isLeaving = m_isLeaving;
     report.configVersion = configVersion();
-    report.rows = m_loads.ownRows(m_clock.monotonic());
-    for (load_row &row : report.rows) {
-        const upstream_index upstream = m_directory.findTag(row.tag);
-        row.isEjected = upstream != noUpstream && m_health.isEjected(upstream);
+    const monotonic_time now = m_clock.monotonic();
+    report.rows = m_loads.ownRows(now);
+    std::unordered_set<std::uint32_t> named;
+    for (const load_row &row : report.rows) {
+        named.insert(row.tag);
     }
     for (upstream_index index = 0; index < m_directory.size(); ++index) {
-        if (!m_health.isEjected(index)) {
-            continue;
+        const bool hasAnswered = m_health.lastOwnAnswer(index) > m_lastReportAt;
+        if ((hasAnswered || m_health.isEjected(index))
+            && named.count(m_directory.at(index).tag) == 0) {
+            report.rows.push_back(load_row{m_directory.at(index).tag, 0, 0, false, false});
         }
-        const std::uint32_t tag = m_directory.at(index).tag;
-        const bool isNamed = std::any_of(report.rows.begin(), report.rows.end(),
-                                         [&](const load_row &row) { return row.tag == tag; });
-        if (!isNamed) {
-            report.rows.push_back(load_row{tag, 0, 0, true});
+    }
+    for (load_row &row : report.rows) {
+        const upstream_index upstream = m_directory.findTag(row.tag);
+        if (upstream != noUpstream) {
+            row.isEjected = m_health.isEjected(upstream);
+            row.hasAnswered = m_health.lastOwnAnswer(upstream) > m_lastReportAt;
         }
     }
+    m_lastReportAt = now;
     return report;
 }
 
--- a/src/core/upstream_health.cpp
+++ b/src/core/upstream_health.cpp
@@ -82,21 +82,33 @@
 {
     record &item = at(upstream);
     item.lastAnswer = now;
-    item.silences = 0;
+    item.lastOwnAnswer = now;
     if (!item.isPlain) {
         rest(item, now);
         fire(item, "answered", now);
     }
 }
 
-void upstream_health::onSilence(upstream_index upstream, monotonic_time now, unsigned needed)
+void upstream_health::onAnsweredElsewhere(upstream_index upstream, monotonic_time when)
+{
+    record &item = at(upstream);
+    item.lastAnswer = std::max(item.lastAnswer, when);
+}
+
+monotonic_time upstream_health::lastAnswer(upstream_index upstream) const
+{
+    return upstream < m_records.size() ? m_records[upstream].lastAnswer : monotonic_time{};
+}
+
+monotonic_time upstream_health::lastOwnAnswer(upstream_index upstream) const
+{
+    return upstream < m_records.size() ? m_records[upstream].lastOwnAnswer : monotonic_time{};
+}
+
+void upstream_health::onSilence(upstream_index upstream, monotonic_time now)
 {
     record &item = at(upstream);
     rest(item, now);
-    if (++item.silences < needed) {
-        return;
-    }
-    item.silences = 0;
     fire(item, "silence", now);
 }
 
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t rowBytes = 8;
 constexpr std::uint16_t ejectedBit = 0x8000;
+constexpr std::uint16_t answeredBit = 0x4000;
+constexpr std::uint16_t slownessMask = 0x3FFF;
 
 /// Kinds of messages; the first member of each. A change of a message's form takes a new number.
 constexpr std::uint64_t reportKind = 1;
@@ -50,8 +52,10 @@
     for (const load_row &row : rows) {
         append(bytes, row.tag, 4);
         append(bytes, row.openRequests, 2);
-        const auto slowness = std::min<std::uint16_t>(row.slowness, ejectedBit - 1);
-        append(bytes, row.isEjected ? slowness | ejectedBit : slowness, 2);
+        auto last = static_cast<unsigned>(std::min<std::uint16_t>(row.slowness, slownessMask));
+        last |= row.isEjected ? ejectedBit : 0U;
+        last |= row.hasAnswered ? answeredBit : 0U;
+        append(bytes, last, 2);
     }
     return json::binary_t(std::move(bytes));
 }
@@ -65,8 +69,9 @@
         row.tag = static_cast<std::uint32_t>(read(&bytes[at], 4));
         row.openRequests = static_cast<std::uint16_t>(read(&bytes[at + 4], 2));
         const auto last = static_cast<std::uint16_t>(read(&bytes[at + 6], 2));
-        row.slowness = last & (ejectedBit - 1U);
+        row.slowness = last & slownessMask;
         row.isEjected = (last & ejectedBit) != 0;
+        row.hasAnswered = (last & answeredBit) != 0;
         rows.push_back(row);
     }
     return rows;
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -323,7 +323,21 @@
 }
 
 TEST_CASE_FIXTURE(settled_host,
-                  "entry_core: the rotation changes: an unanswered opening is not repeated")
+                  "entry_core: the rotation changes, the upstream answers others: no repeat")
+{
+    peer_report report;
+    report.sender = host_record{"h2", "here", {}, 1};
+    core.onPeerReport(report);
+    open(1);
+    pass(80);
+    report.rows.push_back(load_row{upstreamTag(output.sent.back().upstream), 1, 0, false, true});
+    core.onPeerReport(report);
+    pass(200);
+    CHECK(output.sent.size() == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: the rotation changes, nobody hears the upstream: repeated, later")
 {
     peer_report report;
     report.sender = host_record{"h2", "here", {}, 1};
@@ -331,6 +345,8 @@
     open(1);
     pass(100);
     CHECK(output.sent.size() == 1);
+    pass(100);
+    CHECK(output.sent.size() == 2);
 }
 
 TEST_CASE_FIXTURE(settled_host,
--- a/tests/core/flow_placer_test.cpp
+++ b/tests/core/flow_placer_test.cpp
@@ -115,8 +115,8 @@
 TEST_CASE_FIXTURE(two_zones, "flow_placer: ejected everywhere: saturated, since they may come back")
 {
     for (std::uint64_t id = 1; id <= 6; ++id) {
-        health.onSilence(indexOf(id), now, 1);
-        health.onSilence(indexOf(id), now, 1);
+        health.onSilence(indexOf(id), now);
+        health.onSilence(indexOf(id), now);
     }
     CHECK(choose().outcome == placement_outcome::saturated);
 }
--- a/tests/core/upstream_health_test.cpp
+++ b/tests/core/upstream_health_test.cpp
@@ -17,8 +17,8 @@
 {
     silent_twice()
     {
-        health.onSilence(which, ms(0), 1);
-        health.onSilence(which, ms(10), 1);
+        health.onSilence(which, ms(0));
+        health.onSilence(which, ms(10));
     }
 
     upstream_health health;
@@ -29,7 +29,7 @@
 TEST_CASE("upstream_health: one silence: avoided, then free again after a rest or an answer")
 {
     upstream_health health;
-    health.onSilence(which, ms(0), 1);
+    health.onSilence(which, ms(0));
     CHECK(health.rightOf(which, ms(1)) == placement_right::avoid);
     SUBCASE("rest")
     {
@@ -66,7 +66,7 @@
         pause = now - start;
         CHECK(pause <= 8000 + 10);
         health.onTrialSent(which, ms(now));
-        health.onSilence(which, ms(now), 1);
+        health.onSilence(which, ms(now));
     }
     CHECK(pause >= 4000);
 }
@@ -79,19 +79,14 @@
     CHECK(health.rightOf(which, ms(2300)) == placement_right::free);
 }
 
-TEST_CASE("upstream_health: several silences needed: an answer between them starts anew")
+TEST_CASE("upstream_health: answered at another host: known, and not claimed as seen here")
 {
     upstream_health health;
-    for (int count = 0; count < 4; ++count) {
-        health.onSilence(which, ms(count), 5);
-    }
-    health.onAnswered(which, ms(5));
-    for (int count = 0; count < 4; ++count) {
-        health.onSilence(which, ms(10 + count), 5);
-    }
-    CHECK(health.rightOf(which, ms(20)) == placement_right::free);
-    health.onSilence(which, ms(21), 5);
-    CHECK(health.rightOf(which, ms(22)) == placement_right::avoid);
+    health.onAnswered(which, ms(0));
+    health.onAnsweredElsewhere(which, ms(50));
+    health.onAnsweredElsewhere(which, ms(40));
+    CHECK(health.lastAnswer(which) == ms(50));
+    CHECK(health.lastOwnAnswer(which) == ms(0));
 }
 
 TEST_CASE("upstream_health: another host ejects it: avoided here, tried by the owner")
