--- /dev/null
+++ b/tests/host/store_session_test.cpp
@@ -0,0 +1,306 @@
+#include "figstair/host/store_session.h"
+
+#include <doctest/doctest.h>
+
+using namespace figstair;
+
+namespace {
+
+class manual_clock : public clock_source
+{
+public:
+    monotonic_time monotonic() const override { return now; }
+    wall_time wall() const override { return wall_time(now.time_since_epoch()); }
+
+    monotonic_time now{milliseconds(100000)};
+};
+
+/// A store whose answers the test gives.
+class scripted_store : public fleet_store
+{
+public:
+    void list(store_handler<store_records> handler) override
+    {
+        lists.push_back(std::move(handler));
+    }
+    void watch(std::uint64_t revision, milliseconds, store_handler<store_records> handler) override
+    {
+        watchedAfter.push_back(revision);
+        watches.push_back(std::move(handler));
+    }
+    void grantLease(milliseconds, store_handler<std::uint64_t> handler) override
+    {
+        grants.push_back(std::move(handler));
+    }
+    void renewLease(std::uint64_t, store_handler<std::monostate> handler) override
+    {
+        renewals.push_back(std::move(handler));
+    }
+    void endLease(std::uint64_t lease, store_handler<std::monostate>) override
+    {
+        ended.push_back(lease);
+    }
+    void announce(const host_record &, std::uint64_t lease,
+                  store_handler<std::monostate> handler) override
+    {
+        announcedUnder.push_back(lease);
+        announcements.push_back(std::move(handler));
+    }
+    void offerKey(const shared_key &, store_handler<std::monostate> handler) override
+    {
+        offers.push_back(std::move(handler));
+    }
+    std::uint64_t takeCallCount() override { return 0; }
+
+    std::vector<store_handler<store_records>> lists;
+    std::vector<store_handler<store_records>> watches;
+    std::vector<std::uint64_t> watchedAfter;
+    std::vector<store_handler<std::uint64_t>> grants;
+    std::vector<store_handler<std::monostate>> renewals;
+    std::vector<store_handler<std::monostate>> announcements;
+    std::vector<store_handler<std::monostate>> offers;
+    std::vector<std::uint64_t> announcedUnder;
+    std::vector<std::uint64_t> ended;
+};
+
+class recording_environment : public store_session::environment
+{
+public:
+    void sendToPeers(const entry_message &message) override { toAll.push_back(message); }
+    void sendToPeer(const endpoint &, const entry_message &message) override
+    {
+        toOne.push_back(message);
+    }
+    void adoptKey(const peer_key &key) override { keys.push_back(key); }
+    void logEvent(std::string_view name, event_fields) override { events.emplace_back(name); }
+    void count(entry_counter, std::uint64_t) override { }
+
+    std::vector<entry_message> toAll;
+    std::vector<entry_message> toOne;
+    std::vector<peer_key> keys;
+    std::vector<std::string> events;
+};
+
+class silent_output : public entry_output
+{
+public:
+    void forward(byte_view, const known_upstream &) override { }
+    void reset(const flow_id &, std::uint32_t) override { }
+    void sendToPeer(const endpoint &, byte_view) override { }
+    void logEvent(std::string_view, event_fields) override { }
+    void count(entry_counter, std::uint64_t) override { }
+    void observe(entry_distribution, milliseconds) override { }
+};
+
+record_change upstreamChange(std::uint64_t id, std::uint64_t revision, bool isRemoved = false)
+{
+    record_change change;
+    change.kind = record_kind::upstream;
+    change.upstreamId = id;
+    change.revision = revision;
+    if (!isRemoved) {
+        upstream_record entry;
+        entry.id = id;
+        entry.service = "desk";
+        entry.zone = "z";
+        change.content = entry;
+    }
+    return change;
+}
+
+struct session_with_store
+{
+    session_with_store()
+    {
+        settings.self = host_record{"h1", "z", {}, 1};
+        core = std::make_unique<entry_core>(settings, clock, 1, output);
+        auto owned = std::make_unique<scripted_store>();
+        store = owned.get();
+        session = std::make_unique<store_session>(std::move(owned), *core, clock, settings.self,
+                                                  milliseconds(30000), 1, surroundings);
+        session->tick();
+    }
+
+    void answerList(std::uint64_t revision, std::vector<record_change> records)
+    {
+        REQUIRE_FALSE(store->lists.empty());
+        const auto handler = std::exchange(store->lists.back(), {});
+        handler(store_records{std::move(records), revision});
+    }
+    void answerWatch(std::uint64_t revision, std::vector<record_change> records)
+    {
+        const auto handler = std::exchange(store->watches.back(), {});
+        handler(store_records{std::move(records), revision});
+    }
+    void failWatch(store_error::reason why)
+    {
+        const auto handler = std::exchange(store->watches.back(), {});
+        handler(store_error{why, "test"});
+    }
+    std::size_t candidates()
+    {
+        upstream_directory &directory = core->directory();
+        return directory.candidates("desk", directory.zoneNumber("z")).size();
+    }
+    void pass(std::int64_t time)
+    {
+        const monotonic_time end = clock.now + milliseconds(time);
+        while (clock.now < end) {
+            clock.now += milliseconds(10);
+            core->tick();
+            session->tick();
+        }
+    }
+
+    manual_clock clock;
+    silent_output output;
+    entry_settings settings;
+    recording_environment surroundings;
+    std::unique_ptr<entry_core> core;
+    scripted_store *store = nullptr;
+    std::unique_ptr<store_session> session;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: started: lists, offers a key, announces, watches")
+{
+    answerList(20, {upstreamChange(1, 10)});
+    CHECK(candidates() == 1);
+    CHECK(store->offers.size() == 1);
+    CHECK(store->watchedAfter.back() == 20);
+    REQUIRE(store->grants.size() == 1);
+    store->grants.back()(std::uint64_t{77});
+    CHECK(store->announcedUnder.back() == 77);
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: another host's key won: it is adopted, not the own")
+{
+    answerList(20, {});
+    store->offers.back()(store_error{store_error::reason::conflict, ""});
+    CHECK(surroundings.keys.empty());
+    record_change change;
+    change.kind = record_kind::key;
+    change.revision = 21;
+    change.content = shared_key{peer_key{9}};
+    answerWatch(21, {change});
+    REQUIRE(surroundings.keys.size() == 1);
+    CHECK(surroundings.keys.front() == peer_key{9});
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: changes come: applied, passed on, given to who asks")
+{
+    answerList(20, {upstreamChange(1, 10)});
+    answerWatch(22, {upstreamChange(2, 22)});
+    CHECK(candidates() == 2);
+    REQUIRE(surroundings.toAll.size() == 1);
+    CHECK(std::get<view_changes>(surroundings.toAll.back()).after == 20);
+    answerWatch(25, {upstreamChange(3, 25)});
+    session->onPull(view_pull{20, {}});
+    REQUIRE(surroundings.toOne.size() == 1);
+    const auto &changes = std::get<view_changes>(surroundings.toOne.back());
+    CHECK(changes.after == 20);
+    CHECK(changes.revision == 25);
+    CHECK(changes.records.size() == 2);
+    session->onPull(view_pull{5, {}});
+    CHECK(surroundings.toOne.size() == 1);
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: changes passed on by another host: applied once, in order")
+{
+    answerList(20, {});
+    session->onPassedOn(
+        view_changes{20, 24, milliseconds(1), milliseconds(0), {upstreamChange(5, 24)}});
+    CHECK(candidates() == 1);
+    session->onPassedOn(
+        view_changes{30, 31, milliseconds(1), milliseconds(0), {upstreamChange(6, 31)}});
+    CHECK(candidates() == 1);
+    CHECK(session->feed().revision() == 24);
+}
+
+TEST_CASE_FIXTURE(
+    session_with_store,
+    "store_session: an entry lapses while the store is away: kept until it may be back")
+{
+    answerList(20, {upstreamChange(1, 10)});
+    failWatch(store_error::reason::unreachable);
+    pass(3000);
+    REQUIRE(store->watches.back());
+    answerWatch(30, {upstreamChange(1, 30, true)});
+    CHECK(candidates() == 1);
+    pass(2000);
+    CHECK(candidates() == 1);
+    pass(500);
+    CHECK(candidates() == 0);
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: history gone: lists again, what left meanwhile is gone")
+{
+    answerList(20, {upstreamChange(1, 10), upstreamChange(2, 11)});
+    failWatch(store_error::reason::historyGone);
+    REQUIRE(store->lists.size() == 2);
+    answerList(40, {upstreamChange(2, 11)});
+    CHECK(candidates() == 1);
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: the lease has ended: announced anew under another")
+{
+    answerList(20, {});
+    store->grants.back()(std::uint64_t{77});
+    store->announcements.back()(std::monostate{});
+    pass(10100);
+    REQUIRE(store->renewals.size() == 1);
+    store->renewals.back()(store_error{store_error::reason::leaseGone, "404"});
+    pass(20);
+    REQUIRE(store->grants.size() == 2);
+    store->grants.back()(std::uint64_t{78});
+    CHECK(store->announcedUnder.back() == 78);
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: the own announcement is taken away: announced anew at once")
+{
+    answerList(20, {});
+    store->grants.back()(std::uint64_t{77});
+    store->announcements.back()(std::monostate{});
+    record_change change;
+    change.kind = record_kind::host;
+    change.name = "h1";
+    change.revision = 30;
+    answerWatch(30, {change});
+    pass(20);
+    CHECK(store->grants.size() == 2);
+}
+
+TEST_CASE_FIXTURE(
+    session_with_store,
+    "store_session: stopped as planned: takes its announcement back, never again announces")
+{
+    answerList(20, {});
+    store->grants.back()(std::uint64_t{77});
+    store->announcements.back()(std::monostate{});
+    session->withdraw();
+    CHECK(store->ended.back() == 77);
+    pass(20000);
+    CHECK(store->grants.size() == 1);
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: the store is lost and regained: one line each")
+{
+    answerList(20, {});
+    for (int attempt = 0; attempt < 5; ++attempt) {
+        failWatch(store_error::reason::refused);
+        pass(2000);
+    }
+    answerWatch(20, {});
+    CHECK(std::count(surroundings.events.begin(), surroundings.events.end(), "store_lost") == 1);
+    CHECK(std::count(surroundings.events.begin(), surroundings.events.end(), "store_regained")
+          == 1);
+}
