--- /dev/null
+++ b/tests/platform/platform_store_test.cpp
@@ -0,0 +1,192 @@
+#include "platform/platform_store.h"
+
+#include <optional>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include "figstair/store/base64.h"
+#include "platform/scripted_http_server.h"
+
+using namespace figstair;
+using nlohmann::json;
+
+namespace {
+
+constexpr milliseconds timeout{2000};
+
+json entryItem(const std::string &key, std::uint64_t revision)
+{
+    const json entry{{"service", "s"},   {"address", "10.0.0.9:8080"}, {"zone", "z"},
+                     {"concurrency", 4}, {"state", "ready"},           {"warmup-left-ms", 0}};
+    return json{{"key", key}, {"value", toBase64(entry.dump())}, {"revision", revision}};
+}
+
+/// A store client, and a way to wait for one reply.
+struct store_client
+{
+    explicit store_client(scripted_http_server::script answers, milliseconds callTimeout = timeout)
+        : server(std::move(answers))
+        , store(io, server.address(), callTimeout)
+    {
+    }
+
+    template <typename value, typename caller> store_reply<value> reply(caller call)
+    {
+        std::optional<store_reply<value>> result;
+        call([&](store_reply<value> got) {
+            result = std::move(got);
+            io.stop();
+        });
+        io.restart();
+        io.run();
+        REQUIRE(result.has_value());
+        return *result;
+    }
+    store_reply<store_records> list()
+    {
+        return reply<store_records>([&](auto handler) { store.list(handler); });
+    }
+    store_reply<store_records> watch(std::uint64_t revision)
+    {
+        return reply<store_records>(
+            [&](auto handler) { store.watch(revision, milliseconds(100), handler); });
+    }
+
+    boost::asio::io_context io;
+    scripted_http_server server;
+    platform::platform_store store;
+};
+
+template <typename value> store_error::reason reasonOf(const store_reply<value> &reply)
+{
+    REQUIRE(std::holds_alternative<store_error>(reply));
+    return std::get<store_error>(reply).why;
+}
+
+} // namespace
+
+TEST_CASE("platform_store: a listing of two pages: both are read, the first one's revision counts")
+{
+    store_client client([](const received_request &request) {
+        const bool isFirst = request.target.find("after=") == std::string::npos;
+        const json body{{"items", {entryItem(isFirst ? "servers/i-01" : "servers/i-02", 5)}},
+                        {"truncated", isFirst},
+                        {"store-revision", isFirst ? 30 : 33}};
+        return scripted_answer{200, body.dump()};
+    });
+    const auto reply = client.list();
+    const auto &records = std::get<store_records>(reply);
+    CHECK(records.records.size() == 2);
+    CHECK(records.revision == 30);
+    CHECK(client.server.requests().at(1).target.find("after=servers") != std::string::npos);
+    CHECK(client.server.connections() == 1);
+    CHECK(client.store.takeCallCount() == 2);
+}
+
+TEST_CASE("platform_store: a watch: asks after the revision, reads changes and removals")
+{
+    store_client client([](const received_request &) {
+        const json body{{"events",
+                         {entryItem("servers/i-01", 41),
+                          json{{"key", "servers/i-02"}, {"revision", 42}, {"removed", true}}}},
+                        {"store-revision", 42}};
+        return scripted_answer{200, body.dump()};
+    });
+    const auto reply = client.watch(40);
+    const auto &records = std::get<store_records>(reply);
+    REQUIRE(records.records.size() == 2);
+    CHECK(std::holds_alternative<record_change::removed>(records.records[1].content));
+    CHECK(records.revision == 42);
+    const std::string target = client.server.requests().at(0).target;
+    CHECK(target.find("after=40") != std::string::npos);
+    CHECK(target.find("wait-ms=100") != std::string::npos);
+}
+
+TEST_CASE("platform_store: statuses: are told apart by what they mean")
+{
+    unsigned status = 0;
+    store_client client([&](const received_request &) { return scripted_answer{status, "{}"}; });
+    status = 410;
+    CHECK(reasonOf(client.watch(1)) == store_error::reason::historyGone);
+    status = 503;
+    CHECK(reasonOf(client.list()) == store_error::reason::refused);
+    status = 429;
+    CHECK(reasonOf(client.list()) == store_error::reason::refused);
+    status = 412;
+    CHECK(reasonOf(client.reply<std::monostate>(
+              [&](auto handler) { client.store.offerKey(shared_key{}, handler); }))
+          == store_error::reason::conflict);
+    status = 404;
+    CHECK(reasonOf(client.reply<std::monostate>(
+              [&](auto handler) { client.store.renewLease(5, handler); }))
+          == store_error::reason::leaseGone);
+    status = 200;
+    CHECK(reasonOf(client.list()) == store_error::reason::malformed);
+}
+
+TEST_CASE("platform_store: the connection ends without an answer: the next call opens another")
+{
+    int calls = 0;
+    store_client client([&](const received_request &) {
+        scripted_answer answer{200, R"({"items":[],"truncated":false,"store-revision":3})"};
+        answer.closesInstead = ++calls == 1;
+        return answer;
+    });
+    CHECK(reasonOf(client.list()) == store_error::reason::unreachable);
+    CHECK(std::holds_alternative<store_records>(client.list()));
+    CHECK(client.server.connections() == 2);
+}
+
+TEST_CASE("platform_store: no answer at all: gives up after the timeout and goes on")
+{
+    int calls = 0;
+    store_client client(
+        [&](const received_request &) {
+            scripted_answer answer{200, R"({"items":[],"truncated":false,"store-revision":3})"};
+            answer.staysSilent = ++calls == 1;
+            return answer;
+        },
+        milliseconds(150));
+    CHECK(reasonOf(client.list()) == store_error::reason::unreachable);
+    CHECK(std::holds_alternative<store_records>(client.list()));
+}
+
+TEST_CASE("platform_store: nobody listens: unreachable")
+{
+    boost::asio::io_context io;
+    endpoint nowhere;
+    {
+        const scripted_http_server server(
+            [](const received_request &) { return scripted_answer{}; });
+        nowhere = server.address();
+    }
+    platform::platform_store store(io, nowhere, timeout);
+    std::optional<store_reply<store_records>> reply;
+    store.list([&](store_reply<store_records> got) { reply = std::move(got); });
+    io.run();
+    REQUIRE(reply.has_value());
+    CHECK(reasonOf(*reply) == store_error::reason::unreachable);
+}
+
+TEST_CASE(
+    "platform_store: a lease and an announcement under it: the bodies are those of the protocol")
+{
+    store_client client([](const received_request &request) {
+        return scripted_answer{200,
+                               request.target == "/figstair/kv-lease" ? R"({"lease":7,"ttl-ms":9})"
+                                                                      : R"({"revision":5})"};
+    });
+    const auto lease = client.reply<std::uint64_t>(
+        [&](auto handler) { client.store.grantLease(milliseconds(9000), handler); });
+    CHECK(std::get<std::uint64_t>(lease) == 7);
+    const host_record host{"h", "z", *parseEndpoint("10.0.0.1:7720"), 3};
+    const auto done = client.reply<std::monostate>(
+        [&](auto handler) { client.store.announce(host, 7, handler); });
+    CHECK(std::holds_alternative<std::monostate>(done));
+    const auto requests = client.server.requests();
+    CHECK(json::parse(requests.at(0).body).at("ttl-ms") == 9000);
+    const json put = json::parse(requests.at(1).body).at("put").at(0);
+    CHECK(put.at("lease") == 7);
+    CHECK(put.at("key") == "figstair/hosts/h");
+}
--- /dev/null
+++ b/tests/platform/scripted_http_server.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "figstair/core/endpoint.h"
+
+namespace figstair {
+
+/// What the server does with one request.
+struct scripted_answer
+{
+    unsigned status = 200;
+    std::string body;
+    bool closesInstead = false; ///< ends the connection without an answer
+    bool staysSilent = false; ///< never answers
+};
+
+struct received_request
+{
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+/// An HTTP server on loopback whose answers a test gives. Each connection has a thread; silent ones
+/// are kept open.
+class scripted_http_server
+{
+public:
+    using script = std::function<scripted_answer(const received_request &)>;
+
+    explicit scripted_http_server(script answers);
+    ~scripted_http_server();
+
+    endpoint address() const;
+    std::vector<received_request> requests() const;
+    int connections() const { return m_connections; }
+
+private:
+    void run();
+    void serve(boost::asio::ip::tcp::socket socket);
+
+    script m_answers;
+    boost::asio::io_context m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    mutable std::mutex m_mutex; ///< guards what follows
+    std::vector<boost::asio::ip::tcp::socket> m_silent;
+    std::vector<std::thread> m_sessions;
+    std::vector<received_request> m_requests;
+    std::atomic<int> m_connections{0};
+    std::atomic<bool> m_isStopped{false};
+    std::thread m_thread;
+};
+
+} // namespace figstair
