Report and relay by zone in large fleets; weigh reported load by its age; pass configurations on as patches

Change: 6 hosts of the zone and 1 of another in turn every 150 ms; differences in reported load count by the ratio of a request's time to the reports' cycle; readers are strong hosts, one a zone in a large fleet; changes are relayed inside the zone, a configuration as a patch.

--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -58,11 +58,8 @@
     void leave();
     bool isLeaving() const { return m_isLeaving; }
 
-    /// Hosts that the next report goes to.
-    std::vector<endpoint> reportTargets();
-
-    /// Distance of reports: grows with the number of hosts that get them.
-    milliseconds reportInterval() const;
+    std::uint64_t reportSequence() const { return m_reportSequence; }
+    const route_config &config() const { return m_routes.config(); }
 
     /// When tick() has something to do next.
     monotonic_time nextDeadline() const;
@@ -86,6 +83,7 @@
         bool isRechecked = false; ///< waited for other hosts' reports already
     };
 
+    void acceptConfig(const record_change &change);
     void onOpening(const flow_packet &packet, byte_view bytes);
     void onLater(const flow_packet &packet, byte_view bytes);
     void adopt(const flow_packet &packet, flow_record &record, upstream_index upstream);
--- a/include/figstair/core/fleet_records.h
+++ b/include/figstair/core/fleet_records.h
@@ -16,6 +16,11 @@
 {
     std::string service;
     unsigned weight = 1;
+
+    bool operator==(const weighted_service &other) const
+    {
+        return service == other.service && weight == other.weight;
+    }
 };
 
 /// An address that callers use, and where its new flows go.
@@ -28,6 +33,13 @@
     milliseconds timeout{0}; ///< longest time that a request may take; 0 when not stated
     milliseconds aim{0}; ///< time within which a request should be answered; 0 when not stated
     unsigned priority = 0; ///< 0 is served first
+
+    bool operator==(const route &other) const
+    {
+        return name == other.name && address == other.address && port == other.port
+            && services == other.services && timeout == other.timeout && aim == other.aim
+            && priority == other.priority;
+    }
 };
 
 /// What holds for all upstreams of one service.
@@ -68,6 +80,7 @@
     std::string zone;
     endpoint peerAddress;
     std::uint64_t incarnation = 0;
+    unsigned strength = 0; ///< thousandths of a processor core that it may use; 0: not stated
 };
 
 /// The key that hosts authenticate their messages with.
@@ -81,6 +94,14 @@
 {
 };
 
+/// What changed from one configuration to the next.
+struct config_patch
+{
+    std::uint64_t base = 0; ///< version that the patch applies to
+    route_config changed; ///< the new version: added or changed routes, all services and limits
+    std::vector<std::string> removedRoutes; ///< names
+};
+
 enum class record_kind : std::uint8_t { config, upstream, evacuation, host, key };
 
 /// One record of the store as it changed.
@@ -100,7 +121,7 @@
     std::uint64_t upstreamId = 0; ///< for upstreams
     std::uint64_t revision = 0; ///< the store's revision of this change
     std::variant<removed, unreadable, route_config, upstream_record, zone_evacuation, host_record,
-                 shared_key>
+                 shared_key, config_patch>
         content;
 };
 
--- a/include/figstair/core/flow_placer.h
+++ b/include/figstair/core/flow_placer.h
@@ -19,6 +19,7 @@
     unsigned coldPerSecond = 0; ///< flows that one cold upstream may get a second, from all hosts
     double queueFactor = 1.0; ///< open requests for each slot beyond which a flow would be late
     upstream_index excluded = noUpstream; ///< gave no answer to this flow
+    milliseconds expectedTime{60}; ///< of one request at an upstream with a free slot
 };
 
 enum class placement_outcome : std::uint8_t {
@@ -53,8 +54,16 @@
         bool isTrial = false;
     };
 
-    void consider(upstream_index upstream, const placement_request &request, bool isLocal,
-                  bool isZoneReached, monotonic_time now);
+    struct looked_at
+    {
+        upstream_index upstream = noUpstream;
+        bool isLocal = false;
+        bool isZoneReached = true;
+    };
+
+    void lookAt(const placement_request &request, monotonic_time now);
+    double expectedFill(upstream_index upstream) const;
+    void consider(const looked_at &item, const placement_request &request, monotonic_time now);
     void considerCold(upstream_index upstream, const placement_request &request, bool isLocal,
                       monotonic_time now);
     bool isSlotFree(upstream_index upstream) const;
@@ -70,6 +79,9 @@
     best_choice m_best;
     best_choice m_cold;
     bool m_sawListed = false;
+    std::vector<looked_at> m_lookedAt;
+    double m_meanOthersFill = 0; ///< over what is looked at
+    double m_reportWeight = 1; ///< how far reported differences still hold
 };
 
 } // namespace figstair
--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/peer_roster.h
@@ -50,9 +50,25 @@
     const std::string &ownerOf(std::uint64_t key, const std::string &zone,
                                monotonic_time now) const;
 
-    /// Number of live hosts that rendezvous hashing ranks before this one for @p key.
+    /// Number of live hosts ranked before this one for @p key: among this host's zone in a large
+    /// fleet, among all in a small one. Stronger hosts come first, then rendezvous hashing decides.
     unsigned rankOf(std::uint64_t key, monotonic_time now) const;
 
+    /// Whether there are too many hosts for each to report to all others.
+    bool isLargeFleet() const;
+
+    /// Distance of two reports from the same host, by the size of the fleet.
+    milliseconds reportCycle(bool isLocal) const;
+
+    /// Hosts that the report with number @p sequence goes to.
+    std::vector<endpoint> reportTargets(std::uint64_t sequence) const;
+
+    /// Hosts that changes of the store's records are passed on to.
+    std::vector<endpoint> relayTargets() const;
+
+    /// Distance of this host's reports.
+    milliseconds reportInterval() const;
+
     /// When a host was last seen to come, to leave, or to fall silent.
     monotonic_time changedAt() const { return m_changedAt; }
 
@@ -60,6 +76,9 @@
     const std::map<std::string, peer> &peers() const { return m_peers; }
 
 private:
+    std::vector<endpoint> addresses(bool areLocal) const;
+    std::size_t localPeers() const;
+
     host_record m_self;
     std::map<std::string, peer> m_peers;
     monotonic_time m_changedAt{};
--- a/include/figstair/core/route_table.h
+++ b/include/figstair/core/route_table.h
@@ -9,6 +9,9 @@
 
 namespace figstair {
 
+/// What turns @p before into @p after; routes are told apart by their names.
+config_patch patchBetween(const route_config &before, const route_config &after);
+
 /// The newest configuration that this process has accepted. Versions only grow.
 class route_table
 {
@@ -16,6 +19,9 @@
     /// Takes @p config into force when its version is greater. Returns whether it did.
     bool accept(const route_config &config);
 
+    /// Applies @p patch when it follows the version in force. Returns whether it did.
+    bool accept(const config_patch &patch);
+
     bool isLoaded() const { return m_isLoaded; }
     const route_config &config() const { return m_config; }
 
--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -40,6 +40,9 @@
     /// Another host states its view's revision and age.
     void onPeerView(std::uint64_t revision, milliseconds age, monotonic_time now);
 
+    /// Something passed on could not be applied: the store has to be read whole.
+    void requireListing() { m_needsListing = true; }
+
     /// Whether to ask another host now for changes that did not arrive.
     bool takePull(monotonic_time now);
 
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -24,7 +24,8 @@
     {
     public:
         virtual ~environment() = default;
-        virtual void sendToPeers(const entry_message &message) = 0;
+        /// Sends @p message to all hosts that rely on this one for changes.
+        virtual void relay(const entry_message &message) = 0;
         virtual void sendToPeer(const endpoint &to, const entry_message &message) = 0;
         virtual void adoptKey(const peer_key &key) = 0;
         virtual void logEvent(std::string_view name, event_fields fields) = 0;
@@ -63,6 +64,7 @@
     void noteFailure(const char *call, const store_error &error);
     void noteSuccess();
     void take(const std::vector<record_change> &records);
+    std::vector<record_change> forRelay(const std::vector<record_change> &records) const;
     void keep(std::uint64_t after, std::uint64_t revision,
               const std::vector<record_change> &records);
     void offerKeyIfMissing(const std::vector<record_change> &listing);
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -59,17 +59,13 @@
 /// says nothing of upstreams: answers went by while nobody counted, or another host saw them.
 constexpr milliseconds silenceGraceAfterFreeze{400};
 
-/// Reports to other hosts. The interval bounds how old the load is that a placement goes by; the
-/// spacing bounds the cost at a host to 100 messages a second each way.
-constexpr milliseconds leastReportInterval{100};
-constexpr milliseconds reportSpacing{10};
-constexpr std::size_t mostReportTargets = 32;
-constexpr std::size_t otherZoneTargets = 4;
-
 /// After a host came or went, the platform sends the packets of open flows by way of other hosts:
 /// two readiness checks, half a second apart, pass until all of them follow.
 constexpr milliseconds rotationSettleTime{1600};
 
+/// Reports older than this say nothing of the load: requests last a fraction of it.
+constexpr milliseconds reportValidity{1200};
+
 /// Meanwhile a handshake that seems unanswered may have been acknowledged through another host: its
 /// upstream is judged after the other hosts' next reports have come.
 constexpr milliseconds reportDelay{115};
@@ -226,9 +222,10 @@
                                      leastQueueFactor, mostQueueFactor);
     // A flow that is late in any case must not take the time of one that is not yet.
     const double queueFactor = record.isLate ? lateQueueFactor : inTime;
-    const placement_result choice = m_placer.choose(
-        placement_request{service, coldPerSecond(service), queueFactor, record.earlier},
-        m_clock.monotonic());
+    const placement_result choice =
+        m_placer.choose(placement_request{service, coldPerSecond(service), queueFactor,
+                                          record.earlier, expectedTime(flow)},
+                        m_clock.monotonic());
     if (choice.outcome == placement_outcome::placed) {
         sendOpening(flow, record, bytes, choice);
     }
@@ -560,7 +557,7 @@
         m_directory.advance(now);
         m_roster.advance(now);
         for (const auto &[name, peer] : m_roster.peers()) {
-            if (!m_roster.isAlive(peer, now)) {
+            if (!m_roster.isAlive(peer, now) || now - peer.heardAt > reportValidity) {
                 m_loads.dropReport(name);
             }
         }
@@ -626,16 +623,8 @@
                            {"revision", std::to_string(change.revision)},
                            {"problem", bad->problem}});
     }
-    if (const auto *config = std::get_if<route_config>(&change.content)) {
-        const std::uint64_t before = configVersion();
-        if (m_routes.accept(*config)) {
-            m_output.count(entry_counter::configsAccepted, 1);
-            m_output.logEvent("config_accepted",
-                              {{"config", std::to_string(config->version)},
-                               {"before", std::to_string(before)},
-                               {"revision", std::to_string(change.revision)},
-                               {"routes", std::to_string(config->routes.size())}});
-        }
+    if (change.kind == record_kind::config) {
+        acceptConfig(change);
         return;
     }
     if (change.kind == record_kind::host) {
@@ -673,6 +662,26 @@
     }
 }
 
+void entry_core::acceptConfig(const record_change &change)
+{
+    const std::uint64_t before = configVersion();
+    bool isAccepted = false;
+    if (const auto *config = std::get_if<route_config>(&change.content)) {
+        isAccepted = m_routes.accept(*config);
+    } else if (const auto *patch = std::get_if<config_patch>(&change.content)) {
+        isAccepted = m_routes.accept(*patch);
+    }
+    if (!isAccepted) {
+        return;
+    }
+    m_output.count(entry_counter::configsAccepted, 1);
+    m_output.logEvent("config_accepted",
+                      {{"config", std::to_string(configVersion())},
+                       {"before", std::to_string(before)},
+                       {"revision", std::to_string(change.revision)},
+                       {"routes", std::to_string(m_routes.config().routes.size())}});
+}
+
 void entry_core::onListing(const std::vector<record_change> &listing, std::uint64_t revision)
 {
     for (const record_change &change : listing) {
@@ -700,7 +709,7 @@
         const upstream_index upstream = m_directory.findTag(row.tag);
         if (upstream != noUpstream && row.hasAnswered) {
             // At the latest when the report was sent, at the earliest one interval before.
-            m_health.onAnsweredElsewhere(upstream, now - leastReportInterval / 2);
+            m_health.onAnsweredElsewhere(upstream, now - m_roster.reportInterval() / 2);
         }
         if (upstream == noUpstream || !row.isEjected || !isCredible) {
             continue;
@@ -728,40 +737,6 @@
     m_isLeaving = true;
 }
 
-milliseconds entry_core::reportInterval() const
-{
-    const auto targets =
-        static_cast<std::int64_t>(std::min(m_roster.peers().size(), mostReportTargets));
-    return std::max(leastReportInterval, milliseconds(targets * reportSpacing.count()));
-}
-
-std::vector<endpoint> entry_core::reportTargets()
-{
-    std::vector<endpoint> local;
-    std::vector<endpoint> others;
-    for (const auto &[name, peer] : m_roster.peers()) {
-        const bool isLocal = peer.entry.zone == m_settings.self.zone;
-        (isLocal ? local : others).push_back(peer.entry.peerAddress);
-    }
-    const std::size_t all = local.size() + others.size();
-    if (all <= mostReportTargets) {
-        local.insert(local.end(), others.begin(), others.end());
-        return local;
-    }
-    // A larger fleet: the whole zone as far as it fits, and a turn of the others.
-    if (local.size() > mostReportTargets) {
-        std::rotate(local.begin(),
-                    local.begin()
-                        + std::ptrdiff_t(m_reportSequence * mostReportTargets % local.size()),
-                    local.end());
-        local.resize(mostReportTargets);
-    }
-    for (std::size_t step = 0; step < std::min(otherZoneTargets, others.size()); ++step) {
-        local.push_back(others[(m_reportSequence * otherZoneTargets + step) % others.size()]);
-    }
-    return local;
-}
-
 peer_report entry_core::makeReport()
 {
     peer_report report;
--- a/src/core/flow_placer.cpp
+++ b/src/core/flow_placer.cpp
@@ -44,16 +44,25 @@
     return m_loads.open(upstream) < m_directory.at(upstream).entry.slots;
 }
 
-void flow_placer::consider(upstream_index upstream, const placement_request &request, bool isLocal,
-                           bool isZoneReached, monotonic_time now)
+double flow_placer::expectedFill(upstream_index upstream) const
 {
+    const double slots = m_directory.at(upstream).entry.slots;
+    const double own = m_loads.ownOpen(upstream) / slots;
+    const double others = m_loads.open(upstream) / slots - own;
+    return own + m_meanOthersFill + m_reportWeight * (others - m_meanOthersFill);
+}
+
+void flow_placer::consider(const looked_at &item, const placement_request &request,
+                           monotonic_time now)
+{
+    const upstream_index upstream = item.upstream;
     const known_upstream &known = m_directory.at(upstream);
     m_sawListed = true;
     if (upstream == request.excluded) {
         return;
     }
     if (now < known.coldUntil) {
-        considerCold(upstream, request, isLocal, now);
+        considerCold(upstream, request, item.isLocal, now);
         return;
     }
     const placement_right right = m_health.rightOf(upstream, now);
@@ -64,14 +73,14 @@
     if (isTrial && !m_roster.owns(known.entry.id, known.entry.zone, now)) {
         return;
     }
-    const double fill = static_cast<double>(m_loads.open(upstream)) / known.entry.slots;
+    const double fill = expectedFill(upstream);
     const double after = fill + 1.0 / known.entry.slots;
     if (after > std::max(request.queueFactor, 1.0)) {
         return;
     }
     double cost = m_loads.slowness(upstream, now) * std::max(1.0, after) + fillCost * fill;
-    cost += isLocal ? 0.0 : otherZoneCost;
-    cost += isZoneReached ? 0.0 : unreachedZoneCost;
+    cost += item.isLocal ? 0.0 : otherZoneCost;
+    cost += item.isZoneReached ? 0.0 : unreachedZoneCost;
     cost += right == placement_right::avoid ? suspicionCost : 0.0;
     if (isTrial) {
         // A due trial goes ahead of everything else; its flow is repeated elsewhere if it fails.
@@ -106,12 +115,11 @@
     }
 }
 
-placement_result flow_placer::choose(const placement_request &request, monotonic_time now)
+void flow_placer::lookAt(const placement_request &request, monotonic_time now)
 {
-    m_best = best_choice{};
-    m_cold = best_choice{};
-    m_sawListed = false;
+    m_lookedAt.clear();
     const std::uint16_t ownZone = m_directory.zoneNumber(m_roster.self().zone);
+    double others = 0;
     for (std::size_t number = 0; number < m_directory.zoneCount(); ++number) {
         const auto zone = static_cast<std::uint16_t>(number);
         const boost::span<const upstream_index> list =
@@ -124,9 +132,26 @@
         const std::size_t most = isLocal ? mostLookedAtLocally : mostLookedAtElsewhere;
         const std::size_t first = m_random() % list.size();
         for (std::size_t step = 0; step < std::min(most, list.size()); ++step) {
-            consider(list[(first + step) % list.size()], request, isLocal, isReached, now);
+            const upstream_index upstream = list[(first + step) % list.size()];
+            m_lookedAt.push_back(looked_at{upstream, isLocal, isReached});
+            others += double(m_loads.open(upstream) - m_loads.ownOpen(upstream))
+                / m_directory.at(upstream).entry.slots;
         }
     }
+    m_meanOthersFill = m_lookedAt.empty() ? 0 : others / double(m_lookedAt.size());
+    const auto cycle = static_cast<double>(m_roster.reportCycle(true).count());
+    m_reportWeight = std::min(1.0, double(request.expectedTime.count()) / cycle);
+}
+
+placement_result flow_placer::choose(const placement_request &request, monotonic_time now)
+{
+    m_best = best_choice{};
+    m_cold = best_choice{};
+    m_sawListed = false;
+    lookAt(request, now);
+    for (const looked_at &item : m_lookedAt) {
+        consider(item, request, now);
+    }
     if (m_best.upstream != noUpstream
         && (m_cold.upstream == noUpstream || isSlotFree(m_best.upstream))) {
         if (m_best.isTrial) {
--- a/src/core/peer_roster.cpp
+++ b/src/core/peer_roster.cpp
@@ -8,13 +8,40 @@
 namespace figstair {
 namespace {
 
-/// A host that was silent for this long does not take part: four of the intervals in which hosts
-/// report to each other, so that two lost messages in a row do not matter.
-constexpr milliseconds silenceLimit{450};
+/// Up to this many other hosts each one reports to all: 20 messages in 100 ms either way.
+constexpr std::size_t mostInFullMesh = 20;
+
+/// Reports in a full mesh. The interval bounds how old the load is that a placement goes by.
+constexpr milliseconds fullMeshInterval{100};
+
+/// Reports in a large fleet go to these many hosts of the own zone in turn, and of other zones: a
+/// weak host affords about 50 messages a second each way.
+constexpr milliseconds largeFleetInterval{150};
+constexpr std::size_t localTargets = 6;
+constexpr std::size_t otherTargets = 1;
+
+/// A host that was silent for this many of the intervals in which it reports here does not take
+/// part, so that some lost messages in a row do not matter.
+constexpr int silentCycles = 4;
+constexpr milliseconds leastSilence{450};
+
+/// In a large fleet a zone is taken for cut off when none of its hosts was heard for this long.
+constexpr milliseconds zoneSilence{700};
 
 /// How long a host that the store does not name is remembered after it was heard last.
 constexpr milliseconds memoryTime{10000};
 
+/// Hosts within a factor of two count as equally strong.
+unsigned strengthClass(unsigned strength)
+{
+    unsigned power = 0;
+    while (strength > 1) {
+        strength /= 2;
+        ++power;
+    }
+    return power;
+}
+
 } // namespace
 
 peer_roster::peer_roster(host_record self)
@@ -88,7 +115,83 @@
 
 bool peer_roster::isAlive(const peer &other, monotonic_time now) const
 {
-    return other.heardAt != monotonic_time{} && now - other.heardAt <= silenceLimit;
+    const bool isLocal = other.entry.zone == m_self.zone;
+    const milliseconds limit = std::max(leastSilence, reportCycle(isLocal) * silentCycles);
+    return other.heardAt != monotonic_time{} && now - other.heardAt <= limit;
+}
+
+bool peer_roster::isLargeFleet() const
+{
+    return m_peers.size() > mostInFullMesh;
+}
+
+std::size_t peer_roster::localPeers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(),
+                      [this](const auto &item) { return item.second.entry.zone == m_self.zone; }));
+}
+
+milliseconds peer_roster::reportInterval() const
+{
+    return isLargeFleet() ? largeFleetInterval : fullMeshInterval;
+}
+
+milliseconds peer_roster::reportCycle(bool isLocal) const
+{
+    if (!isLargeFleet()) {
+        return fullMeshInterval;
+    }
+    const std::size_t local = localPeers();
+    const std::size_t hosts = isLocal ? local : m_peers.size() - local;
+    const std::size_t targets = isLocal ? localTargets : otherTargets;
+    return largeFleetInterval
+        * static_cast<std::int64_t>(std::max<std::size_t>(1, (hosts + targets - 1) / targets));
+}
+
+std::vector<endpoint> peer_roster::addresses(bool areLocal) const
+{
+    std::vector<endpoint> list;
+    for (const auto &[name, other] : m_peers) {
+        if ((other.entry.zone == m_self.zone) == areLocal) {
+            list.push_back(other.entry.peerAddress);
+        }
+    }
+    return list;
+}
+
+std::vector<endpoint> peer_roster::reportTargets(std::uint64_t sequence) const
+{
+    std::vector<endpoint> targets = addresses(true);
+    std::vector<endpoint> others = addresses(false);
+    if (!isLargeFleet()) {
+        targets.insert(targets.end(), others.begin(), others.end());
+        return targets;
+    }
+    // Each host begins elsewhere in the list, so that not all report to the same ones together.
+    const auto turn = [&](std::vector<endpoint> &list, std::size_t count) {
+        if (list.size() > count) {
+            const std::uint64_t first = rendezvousScore(0, m_self.name) + sequence * count;
+            std::rotate(list.begin(),
+                        list.begin() + static_cast<std::ptrdiff_t>(first % list.size()),
+                        list.end());
+            list.resize(count);
+        }
+    };
+    turn(targets, localTargets);
+    turn(others, otherTargets);
+    targets.insert(targets.end(), others.begin(), others.end());
+    return targets;
+}
+
+std::vector<endpoint> peer_roster::relayTargets() const
+{
+    std::vector<endpoint> targets = addresses(true);
+    if (!isLargeFleet()) {
+        const std::vector<endpoint> others = addresses(false);
+        targets.insert(targets.end(), others.begin(), others.end());
+    }
+    return targets;
 }
 
 bool peer_roster::isZoneReached(const std::string &zone, monotonic_time now) const
@@ -102,7 +205,7 @@
             continue;
         }
         wasHeard = true;
-        if (isAlive(other, now)) {
+        if (now - other.heardAt <= (isLargeFleet() ? zoneSilence : leastSilence)) {
             return true;
         }
     }
@@ -137,10 +240,16 @@
 
 unsigned peer_roster::rankOf(std::uint64_t key, monotonic_time now) const
 {
-    const std::uint64_t own = rendezvousScore(key, m_self.name);
+    const bool isByZone = isLargeFleet();
+    const auto own =
+        std::make_pair(strengthClass(m_self.strength), rendezvousScore(key, m_self.name));
     unsigned rank = 0;
     for (const auto &[name, other] : m_peers) {
-        if (isAlive(other, now) && !other.isLeaving && rendezvousScore(key, name) > own) {
+        const bool counts = isAlive(other, now) && !other.isLeaving
+            && (!isByZone || other.entry.zone == m_self.zone);
+        if (counts
+            && std::make_pair(strengthClass(other.entry.strength), rendezvousScore(key, name))
+                > own) {
             ++rank;
         }
     }
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -1,6 +1,8 @@
 #include "figstair/core/route_table.h"
 
 #include <algorithm>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace figstair {
 namespace {
@@ -12,6 +14,31 @@
 
 } // namespace
 
+config_patch patchBetween(const route_config &before, const route_config &after)
+{
+    std::unordered_map<std::string, const route *> old;
+    for (const route &item : before.routes) {
+        old.emplace(item.name, &item);
+    }
+    config_patch patch;
+    patch.base = before.version;
+    patch.changed = after;
+    patch.changed.routes.clear();
+    for (const route &item : after.routes) {
+        const auto found = old.find(item.name);
+        if (found == old.end() || !(*found->second == item)) {
+            patch.changed.routes.push_back(item);
+        }
+        if (found != old.end()) {
+            old.erase(found);
+        }
+    }
+    for (const auto &[name, item] : old) {
+        patch.removedRoutes.push_back(name);
+    }
+    return patch;
+}
+
 bool route_table::accept(const route_config &config)
 {
     if (m_isLoaded && config.version <= m_config.version) {
@@ -28,6 +55,25 @@
     return true;
 }
 
+bool route_table::accept(const config_patch &patch)
+{
+    if (!m_isLoaded || patch.base != m_config.version) {
+        return false;
+    }
+    route_config next = patch.changed;
+    std::unordered_set<std::string> replaced(patch.removedRoutes.begin(),
+                                             patch.removedRoutes.end());
+    for (const route &item : patch.changed.routes) {
+        replaced.insert(item.name);
+    }
+    for (const route &item : m_config.routes) {
+        if (replaced.count(item.name) == 0) {
+            next.routes.push_back(item);
+        }
+    }
+    return accept(next);
+}
+
 const route *route_table::find(const flow_id &flow) const
 {
     const auto found = m_byAddress.find(addressKey(flow.routeAddress, flow.routePort));
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -15,7 +15,7 @@
 
 /// Hosts ranked later wait longer, so that the first one to read can pass on what it got.
 constexpr milliseconds rankStep{60};
-constexpr milliseconds mostRankDelay{360};
+constexpr milliseconds mostRankDelay{600};
 
 /// Time after which changes that others have are asked for, and then read from the store.
 constexpr milliseconds pullAfter{120};
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -160,14 +160,14 @@
 
     // store_session::environment
 
-    void sendToPeers(const entry_message &message) override
+    void relay(const entry_message &message) override
     {
         if (!m_key) {
             return;
         }
         const byte_buffer bytes = encodeEntryMessage(*m_key, message);
-        for (const auto &[name, peer] : m_core->roster().peers()) {
-            sendToPeer(peer.entry.peerAddress, bytes);
+        for (const endpoint &target : m_core->roster().relayTargets()) {
+            sendToPeer(target, bytes);
         }
     }
 
@@ -327,7 +327,7 @@
             m_store->tick();
         }
         if (now >= m_nextReport) {
-            m_nextReport = now + m_core->reportInterval();
+            m_nextReport = now + m_core->roster().reportInterval();
             sendReport();
         }
         if (now >= m_nextLog) {
@@ -353,7 +353,7 @@
         report.viewRevision = m_store->feed().revision();
         report.viewAge = m_store->feed().age(m_clock.monotonic());
         const byte_buffer bytes = encodeEntryMessage(*m_key, report);
-        for (const endpoint &target : m_core->reportTargets()) {
+        for (const endpoint &target : m_core->roster().reportTargets(m_core->reportSequence())) {
             sendToPeer(target, bytes);
         }
     }
--- a/src/host/entry_process_settings.cpp
+++ b/src/host/entry_process_settings.cpp
@@ -56,6 +56,13 @@
          }},
         {"host", "internal_ports", true, "the first and the last port, separated by a comma",
          [&s](const std::string &v) { return readPortRange(v, s.core.self.peerAddress.port); }},
+        {"host", "cpu_share", false, "a share of a processor core from 0.001 to 1024",
+         [&s](const std::string &v) {
+             double share = 0;
+             const bool isRead = readNumber(v, 0.001, 1024.0, share);
+             s.core.self.strength = static_cast<unsigned>(std::lround(share * 1000));
+             return isRead;
+         }},
         {"host", "metrics_port", false, "a port from 0 (off) to 65535",
          [&s](const std::string &v) {
              return readNumber<std::uint16_t>(v, 0, 65535, s.metricsListen.port);
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -46,7 +46,7 @@
     const monotonic_time now = m_clock.monotonic();
     startCall(m_feed.nextCall(now, rank()));
     if (m_feed.takePull(now)) {
-        m_environment.sendToPeers(view_pull{m_feed.revision(), m_self.peerAddress});
+        m_environment.relay(view_pull{m_feed.revision(), m_self.peerAddress});
     }
     if (m_feed.isLoaded() && !m_isAnnouncing && !m_isWithdrawn && now >= m_nextAnnouncement) {
         continueAnnouncing();
@@ -107,6 +107,11 @@
         } else {
             m_core.onChange(change);
         }
+        if (const auto *patch = std::get_if<config_patch>(&change.content)) {
+            if (m_core.configVersion() < patch->changed.version) {
+                m_feed.requireListing();
+            }
+        }
         const bool isOwn = change.kind == record_kind::host && change.name == m_self.name;
         if (isOwn && std::holds_alternative<record_change::removed>(change.content)
             && m_isAnnounced) {
@@ -117,6 +122,20 @@
     }
 }
 
+std::vector<record_change> store_session::forRelay(const std::vector<record_change> &records) const
+{
+    std::vector<record_change> relayed = records;
+    const route_config *before = &m_core.config();
+    for (std::size_t index = 0; index < records.size(); ++index) {
+        const auto *after = std::get_if<route_config>(&records[index].content);
+        if (after != nullptr && m_core.hasConfig() && after->version > before->version) {
+            relayed[index].content = patchBetween(*before, *after);
+            before = after;
+        }
+    }
+    return relayed;
+}
+
 void store_session::keep(std::uint64_t after, std::uint64_t revision,
                          const std::vector<record_change> &records)
 {
@@ -183,15 +202,19 @@
         tick();
         return;
     }
-    const auto &events = std::get<store_records>(reply);
+    auto &events = std::get<store_records>(reply);
     m_feed.onWatched(events.revision, now);
     noteSuccess();
+    const std::vector<record_change> relayed = forRelay(events.records);
     take(events.records);
     if (events.revision > after) {
-        keep(after, events.revision, events.records);
+        keep(after, events.revision, relayed);
+    }
+    if (events.revision > after || rank() > 0) {
+        // Also without changes: hosts that would read by themselves learn that the view holds.
         const milliseconds grace = std::max(milliseconds::zero(), m_feed.graceUntil() - now);
-        m_environment.sendToPeers(
-            view_changes{after, events.revision, m_feed.age(now), grace, events.records});
+        m_environment.relay(
+            view_changes{after, events.revision, m_feed.age(now), grace, relayed});
     }
     tick();
 }
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -88,13 +88,15 @@
 
 json toJson(const host_record &host)
 {
-    return json::array({host.name, host.zone, toString(host.peerAddress), host.incarnation});
+    return json::array({host.name, host.zone, toString(host.peerAddress), host.incarnation,
+                        host.strength});
 }
 
 host_record hostFrom(const json &value)
 {
     return host_record{value.at(0).get<std::string>(), value.at(1).get<std::string>(),
-                       endpointFrom(value.at(2)), value.at(3).get<std::uint64_t>()};
+                       endpointFrom(value.at(2)), value.at(3).get<std::uint64_t>(),
+                       value.at(4).get<unsigned>()};
 }
 
 json toJson(const route_config &config)
@@ -173,6 +175,10 @@
     json operator()(const upstream_record &content) const { return toJson(content); }
     json operator()(const zone_evacuation &) const { return nullptr; }
     json operator()(const host_record &content) const { return toJson(content); }
+    json operator()(const config_patch &content) const
+    {
+        return json::array({content.base, toJson(content.changed), content.removedRoutes});
+    }
     json operator()(const shared_key &content) const
     {
         return json::binary_t({content.key.begin(), content.key.end()});
@@ -227,6 +233,11 @@
         change.content = key;
         break;
     }
+    case 7:
+        change.content
+            = config_patch{content.at(0).get<std::uint64_t>(), configFrom(content.at(1)),
+                           content.at(2).get<std::vector<std::string>>()};
+        break;
     default:
         refuse("unknown content", value);
     }
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -432,7 +432,7 @@
                         endpoint{{}, static_cast<std::uint16_t>(number)}, 1};
         core.onPeerReport(report);
     }
-    const double targets = double(core.reportTargets().size());
+    const double targets = double(core.roster().reportTargets(1).size());
     CHECK(targets <= 40);
-    CHECK(targets / (double(core.reportInterval().count()) / 1000) <= 130);
+    CHECK(targets / (double(core.roster().reportInterval().count()) / 1000) <= 130);
 }
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -66,7 +66,7 @@
 class recording_environment : public store_session::environment
 {
 public:
-    void sendToPeers(const entry_message &message) override { toAll.push_back(message); }
+    void relay(const entry_message &message) override { toAll.push_back(message); }
     void sendToPeer(const endpoint &, const entry_message &message) override
     {
         toOne.push_back(message);
