Tell the zone's hosts at once which upstreams give no answer

Change: a silent opening makes a report urgent (at most one in 40 ms, to the zone); suspicion seen here and told by another host ejects; the count of local hosts is kept.

--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -58,6 +58,9 @@
     void leave();
     bool isLeaving() const { return m_isLeaving; }
 
+    /// Whether something was learned that other hosts should know before the next report is due.
+    bool isReportUrgent() const { return m_isReportUrgent; }
+
     std::uint64_t reportSequence() const { return m_reportSequence; }
     const route_config &config() const { return m_routes.config(); }
 
@@ -130,6 +133,7 @@
     monotonic_time m_lastReportAt{};
     std::uint64_t m_reportSequence = 0;
     bool m_isLeaving = false;
+    bool m_isReportUrgent = false;
 };
 
 /// "caller=10.0.0.1:80 ..." style text of a flow: caller and route address.
--- a/include/figstair/core/load_board.h
+++ b/include/figstair/core/load_board.h
@@ -20,11 +20,13 @@
     std::uint16_t slowness = 0; ///< measured time over the expected one, in 1/16; 0: not measured
     bool isEjected = false;
     bool hasAnswered = false; ///< something came from it since the host's last report
+    bool isSuspected = false; ///< a flow got no answer from it a moment ago
 
     bool operator==(const load_row &other) const
     {
         return tag == other.tag && openRequests == other.openRequests && slowness == other.slowness
-            && isEjected == other.isEjected && hasAnswered == other.hasAnswered;
+            && isEjected == other.isEjected && hasAnswered == other.hasAnswered
+            && isSuspected == other.isSuspected;
     }
 };
 
--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/peer_roster.h
@@ -77,10 +77,11 @@
 
 private:
     std::vector<endpoint> addresses(bool areLocal) const;
-    std::size_t localPeers() const;
+    void countLocal();
 
     host_record m_self;
     std::map<std::string, peer> m_peers;
+    std::size_t m_localCount = 0; ///< peers of the own zone
     monotonic_time m_changedAt{};
 };
 
--- a/include/figstair/core/upstream_health.h
+++ b/include/figstair/core/upstream_health.h
@@ -39,6 +39,9 @@
     /// A flow got no answer in time.
     void onSilence(upstream_index upstream, monotonic_time now);
 
+    /// Another host suspects the upstream. Together with a silence seen here that ejects it.
+    void onSuspectedElsewhere(upstream_index upstream, monotonic_time now);
+
     /// Another host ejected the upstream. @p ownsTrials: it is on this host to try it.
     void onReported(upstream_index upstream, bool ownsTrials, monotonic_time now);
 
@@ -56,6 +59,9 @@
     /// Whether this host has ejected the upstream.
     bool isEjected(upstream_index upstream) const;
 
+    /// Whether a flow sent by this host got no answer a moment ago.
+    bool isSuspectedHere(upstream_index upstream, monotonic_time now) const;
+
     /// Name of the state, for logs.
     std::string_view stateName(upstream_index upstream) const;
 
@@ -74,6 +80,7 @@
         monotonic_time stateSince{};
         monotonic_time lastAnswer{};
         monotonic_time lastOwnAnswer{};
+        monotonic_time lastSilence{};
         monotonic_time nextTrial{};
         milliseconds backoff{0};
     };
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -449,6 +449,7 @@
     if (isEjected && !wasEjected) {
         m_output.count(entry_counter::ejections, 1);
     }
+    m_isReportUrgent = true;
 }
 
 bool entry_core::isRotationSteady() const
@@ -701,7 +702,7 @@
     m_loads.setReport(report.sender.name, report.rows, now);
     std::size_t ejected = 0;
     for (const load_row &row : report.rows) {
-        ejected += row.isEjected ? 1 : 0;
+        ejected += row.isEjected || row.isSuspected ? 1 : 0;
     }
     // A host that ejects most upstreams is more likely cut off itself.
     const bool isCredible = ejected * 2 <= m_directory.size();
@@ -711,6 +712,9 @@
             // At the latest when the report was sent, at the earliest one interval before.
             m_health.onAnsweredElsewhere(upstream, now - m_roster.reportInterval() / 2);
         }
+        if (upstream != noUpstream && row.isSuspected && isCredible) {
+            m_health.onSuspectedElsewhere(upstream, now);
+        }
         if (upstream == noUpstream || !row.isEjected || !isCredible) {
             continue;
         }
@@ -752,7 +756,7 @@
     }
     for (upstream_index index = 0; index < m_directory.size(); ++index) {
         const bool hasAnswered = m_health.lastOwnAnswer(index) > m_lastReportAt;
-        if ((hasAnswered || m_health.isEjected(index))
+        if ((hasAnswered || m_health.isEjected(index) || m_health.isSuspectedHere(index, now))
             && named.count(m_directory.at(index).tag) == 0) {
             report.rows.push_back(load_row{m_directory.at(index).tag, 0, 0, false, false});
         }
@@ -762,9 +766,11 @@
         if (upstream != noUpstream) {
             row.isEjected = m_health.isEjected(upstream);
             row.hasAnswered = m_health.lastOwnAnswer(upstream) > m_lastReportAt;
+            row.isSuspected = m_health.isSuspectedHere(upstream, now);
         }
     }
     m_lastReportAt = now;
+    m_isReportUrgent = false;
     return report;
 }
 
--- a/src/core/peer_roster.cpp
+++ b/src/core/peer_roster.cpp
@@ -60,6 +60,7 @@
         if (entry->incarnation >= known.entry.incarnation) {
             known.entry = *entry;
         }
+        countLocal();
         return;
     }
     const auto found = m_peers.find(change.name);
@@ -86,7 +87,8 @@
     if (host.name == m_self.name) {
         return false;
     }
-    peer &known = m_peers[host.name];
+    const auto [slot, isNew] = m_peers.try_emplace(host.name);
+    peer &known = slot->second;
     if (host.incarnation < known.entry.incarnation) {
         return false;
     }
@@ -98,6 +100,9 @@
     known.entry = host;
     known.heardAt = now;
     known.isLeaving = isLeaving;
+    if (isNew) {
+        countLocal();
+    }
     return true;
 }
 
@@ -111,6 +116,7 @@
         const bool isForgotten = !item->second.isListed && now - item->second.heardAt > memoryTime;
         item = isForgotten ? m_peers.erase(item) : std::next(item);
     }
+    countLocal();
 }
 
 bool peer_roster::isAlive(const peer &other, monotonic_time now) const
@@ -125,9 +131,9 @@
     return m_peers.size() > mostInFullMesh;
 }
 
-std::size_t peer_roster::localPeers() const
+void peer_roster::countLocal()
 {
-    return static_cast<std::size_t>(
+    m_localCount = static_cast<std::size_t>(
         std::count_if(m_peers.begin(), m_peers.end(),
                       [this](const auto &item) { return item.second.entry.zone == m_self.zone; }));
 }
@@ -142,8 +148,7 @@
     if (!isLargeFleet()) {
         return fullMeshInterval;
     }
-    const std::size_t local = localPeers();
-    const std::size_t hosts = isLocal ? local : m_peers.size() - local;
+    const std::size_t hosts = isLocal ? m_localCount : m_peers.size() - m_localCount;
     const std::size_t targets = isLocal ? localTargets : otherTargets;
     return largeFleetInterval
         * static_cast<std::int64_t>(std::max<std::size_t>(1, (hosts + targets - 1) / targets));
--- a/src/core/upstream_health.cpp
+++ b/src/core/upstream_health.cpp
@@ -109,9 +109,28 @@
 {
     record &item = at(upstream);
     rest(item, now);
+    item.lastSilence = now;
     fire(item, "silence", now);
 }
 
+bool upstream_health::isSuspectedHere(upstream_index upstream, monotonic_time now) const
+{
+    return upstream < m_records.size() && m_records[upstream].lastSilence != monotonic_time{}
+    && now - m_records[upstream].lastSilence <= suspicionTime
+        && m_records[upstream].lastAnswer < m_records[upstream].lastSilence;
+}
+
+void upstream_health::onSuspectedElsewhere(upstream_index upstream, monotonic_time now)
+{
+    record &item = at(upstream);
+    rest(item, now);
+    if (now - item.lastAnswer <= answerOutweighs) {
+        return;
+    }
+    const bool isConfirmed = item.state.is("suspected") && isSuspectedHere(upstream, now);
+    fire(item, isConfirmed ? "silence" : "reported", now);
+}
+
 void upstream_health::onReported(upstream_index upstream, bool ownsTrials, monotonic_time now)
 {
     record &item = at(upstream);
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -39,6 +39,9 @@
 constexpr milliseconds shortestSleep{5};
 
 constexpr milliseconds logInterval{200};
+/// Least distance of reports that are sent at once, to all hosts of the zone.
+constexpr milliseconds urgentReportInterval{40};
+
 constexpr milliseconds settingsInterval{1000};
 
 /// After a request to stop: packets still come until the platform has missed two readiness checks,
@@ -326,9 +329,11 @@
         if (now >= m_store->nextDeadline()) {
             m_store->tick();
         }
-        if (now >= m_nextReport) {
+        const bool isUrgent = m_core->isReportUrgent() && now >= m_nextUrgentReport;
+        if (now >= m_nextReport || isUrgent) {
             m_nextReport = now + m_core->roster().reportInterval();
-            sendReport();
+            m_nextUrgentReport = now + urgentReportInterval;
+            sendReport(isUrgent);
         }
         if (now >= m_nextLog) {
             m_nextLog = now + logInterval;
@@ -344,7 +349,7 @@
         }
     }
 
-    void sendReport()
+    void sendReport(bool isUrgent)
     {
         if (!m_key) {
             return;
@@ -353,7 +358,10 @@
         report.viewRevision = m_store->feed().revision();
         report.viewAge = m_store->feed().age(m_clock.monotonic());
         const byte_buffer bytes = encodeEntryMessage(*m_key, report);
-        for (const endpoint &target : m_core->roster().reportTargets(m_core->reportSequence())) {
+        const peer_roster &roster = m_core->roster();
+        const std::vector<endpoint> targets =
+            isUrgent ? roster.relayTargets() : roster.reportTargets(m_core->reportSequence());
+        for (const endpoint &target : targets) {
             sendToPeer(target, bytes);
         }
     }
@@ -393,7 +401,7 @@
         m_leavingSince = m_clock.monotonic();
         m_core->leave();
         m_store->withdraw();
-        sendReport();
+        sendReport(true);
         logEvent("leaving", {{"grace_ms", std::to_string(m_settings.grace.count())}});
     }
 
@@ -473,6 +481,7 @@
     byte_buffer m_sendBuffer;
     std::int64_t m_settingsTime;
     monotonic_time m_nextReport{};
+    monotonic_time m_nextUrgentReport{};
     monotonic_time m_nextLog{};
     monotonic_time m_nextSettings{};
     monotonic_time m_leavingSince{};
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -213,8 +213,7 @@
     if (events.revision > after || rank() > 0) {
         // Also without changes: hosts that would read by themselves learn that the view holds.
         const milliseconds grace = std::max(milliseconds::zero(), m_feed.graceUntil() - now);
-        m_environment.relay(
-            view_changes{after, events.revision, m_feed.age(now), grace, relayed});
+        m_environment.relay(view_changes{after, events.revision, m_feed.age(now), grace, relayed});
     }
     tick();
 }
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t rowBytes = 8;
 constexpr std::uint16_t ejectedBit = 0x8000;
 constexpr std::uint16_t answeredBit = 0x4000;
-constexpr std::uint16_t slownessMask = 0x3FFF;
+constexpr std::uint16_t suspectedBit = 0x2000;
+constexpr std::uint16_t slownessMask = 0x1FFF;
 
 /// Kinds of messages; the first member of each. A change of a message's form takes a new number.
 constexpr std::uint64_t reportKind = 1;
@@ -55,6 +56,7 @@
         auto last = static_cast<unsigned>(std::min<std::uint16_t>(row.slowness, slownessMask));
         last |= row.isEjected ? ejectedBit : 0U;
         last |= row.hasAnswered ? answeredBit : 0U;
+        last |= row.isSuspected ? suspectedBit : 0U;
         append(bytes, last, 2);
     }
     return json::binary_t(std::move(bytes));
@@ -72,6 +74,7 @@
         row.slowness = last & slownessMask;
         row.isEjected = (last & ejectedBit) != 0;
         row.hasAnswered = (last & answeredBit) != 0;
+        row.isSuspected = (last & suspectedBit) != 0;
         rows.push_back(row);
     }
     return rows;
