--- a/tests/entry/entry_load_test.cpp
+++ b/tests/entry/entry_load_test.cpp
@@ -165,3 +165,27 @@
     world.run(milliseconds(18000));
     CHECK(world.sum(0, 12).failed == 0);
 }
+
+TEST_CASE("entry load: a zone's upstreams restart and reset new flows: tries are not spent on them")
+{
+    world_plan plan;
+    plan.hostsPerZone = 6;
+    plan.upstreamsPerZone = 12;
+    plan.requestsPerSecond = 900;
+    entry_world world(plan);
+    world.at(milliseconds(3000), [&] {
+        for (std::size_t upstream = 0; upstream < 12; ++upstream) {
+            world.setUpstreamRefusing(upstream, true);
+        }
+    });
+    world.at(milliseconds(7000), [&] {
+        for (std::size_t upstream = 0; upstream < 12; ++upstream) {
+            world.restartUpstreamCold(upstream, milliseconds(2000));
+        }
+    });
+    world.run(milliseconds(14000));
+    // Two thirds of the upstreams live and can serve all: what fails is what met the others before
+    // the hosts told each other, a tenth of a second of the zone's requests.
+    CHECK(world.sum(3, 7).failed <= 30);
+    CHECK(shareInAim(world.sum(4, 7)) >= 0.98);
+}
--- a/tests/entry/entry_world.cpp
+++ b/tests/entry/entry_world.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds readinessInterval{500};
 constexpr milliseconds tickInterval{10};
 constexpr milliseconds reportInterval{100};
+constexpr milliseconds urgentInterval{40};
 constexpr milliseconds startTime{60}; ///< from a host's start to its first view
 constexpr milliseconds attemptTime{1400};
 constexpr milliseconds retransmission{200};
@@ -73,6 +74,7 @@
     std::size_t index;
     unsigned zone;
     std::unique_ptr<entry_core> core;
+    monotonic_time nextUrgentReport{};
     std::uint64_t life = 0;
     bool inRotation = false;
     unsigned misses = 0;
@@ -91,6 +93,7 @@
     milliseconds coldFor{0};
     monotonic_time coldUntil{};
     bool isSilent = false;
+    bool isRefusing = false;
     bool isDraining = false;
     double timesSlower = 1.0;
     unsigned busy = 0;
@@ -223,6 +226,10 @@
         return;
     }
     what.core->tick();
+    if (what.core->isReportUrgent() && m_clock.monotonic() >= what.nextUrgentReport) {
+        what.nextUrgentReport = m_clock.monotonic() + urgentInterval;
+        sendReport(index);
+    }
     after(tickInterval, [this, index, life = what.life] {
         if (m_hosts[index]->life == life) {
             tickHost(index);
@@ -232,10 +239,20 @@
 
 void entry_world::reportAll(std::size_t index)
 {
-    host &what = *m_hosts[index];
-    if (!what.core) {
+    if (!m_hosts[index]->core) {
         return;
     }
+    sendReport(index);
+    after(reportInterval, [this, index, life = m_hosts[index]->life] {
+        if (m_hosts[index]->life == life) {
+            reportAll(index);
+        }
+    });
+}
+
+void entry_world::sendReport(std::size_t index)
+{
+    host &what = *m_hosts[index];
     const peer_report report = what.core->makeReport();
     for (std::size_t other = 0; other < m_hosts.size(); ++other) {
         if (other == index || isCutBetween(what.zone, m_hosts[other]->zone)) {
@@ -247,11 +264,6 @@
             }
         });
     }
-    after(reportInterval, [this, index, life = what.life] {
-        if (m_hosts[index]->life == life) {
-            reportAll(index);
-        }
-    });
 }
 
 void entry_world::checkReadiness()
@@ -396,6 +408,15 @@
     }
     const std::pair<std::uint32_t, std::uint16_t> key{packet.flow.callerAddress,
                                                       packet.flow.callerPort};
+    if (what.isRefusing) {
+        after(toCaller, [this, key] {
+            const auto refused = m_attempts.find(key);
+            if (refused != m_attempts.end()) {
+                endAttempt(*refused->second);
+            }
+        });
+        return;
+    }
     if (packet.opens) {
         what.openings.push_back(m_clock.monotonic());
         what.flows.emplace(key, false);
@@ -553,6 +574,11 @@
     m_upstreams[upstream]->isSilent = isSilent;
 }
 
+void entry_world::setUpstreamRefusing(std::size_t upstream, bool isRefusing)
+{
+    m_upstreams[upstream]->isRefusing = isRefusing;
+}
+
 void entry_world::setUpstreamSpeed(std::size_t upstream, double timesSlower)
 {
     m_upstreams[upstream]->timesSlower = timesSlower;
@@ -572,6 +598,7 @@
     what.waiting.clear();
     what.flows.clear();
     what.isSilent = false;
+    what.isRefusing = false;
     what.bornMs = m_clock.wall().time_since_epoch().count();
     what.coldUntil = m_clock.monotonic() + coldFor;
     announce(index);
--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -71,6 +71,8 @@
     void killHost(std::size_t host);
     void startHost(std::size_t host);
     void setUpstreamSilent(std::size_t upstream, bool isSilent);
+    /// While it refuses, an upstream resets each opening packet at once.
+    void setUpstreamRefusing(std::size_t upstream, bool isRefusing);
     void restartUpstreamCold(std::size_t upstream, milliseconds coldFor);
     void setUpstreamSpeed(std::size_t upstream, double timesSlower);
     void cutZone(unsigned zone, bool isCut);
@@ -114,6 +116,7 @@
     void nextArrival();
     void checkReadiness();
     void reportAll(std::size_t host);
+    void sendReport(std::size_t host);
     void tickHost(std::size_t host);
     host *routeOf(const flow_id &flow, unsigned zone);
     void sendFromCaller(attempt &from, flow_packet packet);
