--- /dev/null
+++ b/bench/entry_bench.cpp
@@ -0,0 +1,197 @@
+// Hot paths of the packet path: one packet carried on, one flow placed, one configuration applied.
+
+#include <array>
+
+#include <benchmark/benchmark.h>
+
+#include "figstair/core/entry_core.h"
+#include "platform/packet_format.h"
+
+using namespace figstair;
+
+namespace {
+
+constexpr std::uint32_t routeAddress = 0xC6120001;
+constexpr std::uint16_t routePort = 443;
+constexpr std::uint32_t callerAddress = 0x64400001;
+
+class still_clock : public clock_source
+{
+public:
+    monotonic_time monotonic() const override { return now; }
+    wall_time wall() const override { return wall_time(now.time_since_epoch()); }
+
+    monotonic_time now{milliseconds(1000000)};
+};
+
+/// Encodes what is forwarded as the platform's adapter does, and drops it.
+class encoding_output : public entry_output
+{
+public:
+    void forward(byte_view packet, const known_upstream &upstream) override
+    {
+        platform::encodeForUpstream(packet, upstream, m_buffer);
+        benchmark::DoNotOptimize(m_buffer.data());
+    }
+    void reset(const flow_id &, std::uint32_t) override { }
+    void sendToPeer(const endpoint &, byte_view) override { }
+    void logEvent(std::string_view, event_fields) override { }
+    void count(entry_counter, std::uint64_t) override { }
+    void observe(entry_distribution, milliseconds) override { }
+
+private:
+    byte_buffer m_buffer;
+};
+
+route_config configWith(std::size_t routes, std::uint64_t version)
+{
+    route_config config;
+    config.version = version;
+    for (std::size_t index = 0; index < routes; ++index) {
+        config.routes.push_back(route{"route-" + std::to_string(index),
+                                      routeAddress + static_cast<std::uint32_t>(index),
+                                      routePort,
+                                      {{"desk", 1}},
+                                      milliseconds(4000),
+                                      milliseconds(250),
+                                      1});
+    }
+    return config;
+}
+
+struct loaded_host
+{
+    explicit loaded_host(std::size_t upstreams)
+    {
+        std::vector<record_change> listing;
+        record_change change;
+        change.revision = 1;
+        change.content = configWith(13, 1);
+        listing.push_back(change);
+        change.kind = record_kind::upstream;
+        for (std::uint64_t id = 1; id <= upstreams; ++id) {
+            upstream_record entry;
+            entry.id = id;
+            entry.service = "desk";
+            entry.zone = "zone-" + std::to_string(id % 3);
+            entry.slots = 4;
+            change.upstreamId = id;
+            change.content = entry;
+            listing.push_back(change);
+        }
+        core.onListing(listing, 2);
+    }
+
+    static entry_settings settings()
+    {
+        entry_settings result;
+        result.self = host_record{"h", "zone-0", {}, 1, 100};
+        return result;
+    }
+
+    still_clock clock;
+    encoding_output output;
+    entry_core core{settings(), clock, 1, output};
+};
+
+std::array<std::uint8_t, 31> packetBytes(std::uint8_t flags, std::uint16_t port, std::uint32_t tag)
+{
+    std::array<std::uint8_t, 31> bytes{};
+    bytes[3] = 1;
+    for (unsigned index = 0; index < 4; ++index) {
+        const unsigned shift = 24 - 8 * index;
+        bytes[8 + index] = static_cast<std::uint8_t>(tag >> shift);
+        bytes[21 + index] = static_cast<std::uint8_t>(routeAddress >> shift);
+        bytes[25 + index] = static_cast<std::uint8_t>(callerAddress >> shift);
+    }
+    bytes[16] = flags;
+    bytes[19] = static_cast<std::uint8_t>(routePort >> 8U);
+    bytes[20] = static_cast<std::uint8_t>(routePort & 255U);
+    bytes[29] = static_cast<std::uint8_t>(port >> 8U);
+    bytes[30] = static_cast<std::uint8_t>(port & 255U);
+    return bytes;
+}
+
+constexpr std::uint8_t opens = 32;
+constexpr std::uint8_t acknowledges = 64;
+constexpr std::uint8_t ends = 8 | 64;
+
+/// The loop without decisions: read the head, write the datagram.
+void bareForwarding(benchmark::State &state)
+{
+    const auto bytes = packetBytes(acknowledges, 1, upstreamTag(1));
+    known_upstream upstream;
+    byte_buffer out;
+    for (auto step : state) {
+        (void)step;
+        const auto packet = platform::decodePacket(bytes);
+        benchmark::DoNotOptimize(packet);
+        platform::encodeForUpstream(bytes, upstream, out);
+        benchmark::DoNotOptimize(out.data());
+    }
+}
+
+void packetOfOpenFlow(benchmark::State &state)
+{
+    loaded_host host(static_cast<std::size_t>(state.range(0)));
+    const auto bytes = packetBytes(acknowledges, 1, upstreamTag(1));
+    for (auto step : state) {
+        (void)step;
+        host.core.onPacket(*platform::decodePacket(bytes), bytes);
+    }
+}
+
+void flowPlacedAndEnded(benchmark::State &state)
+{
+    loaded_host host(static_cast<std::size_t>(state.range(0)));
+    std::uint16_t port = 0;
+    for (auto step : state) {
+        (void)step;
+        const auto opening = packetBytes(opens, ++port, 0);
+        host.core.onPacket(*platform::decodePacket(opening), opening);
+        const auto last = packetBytes(ends, port, upstreamTag(1));
+        host.core.onPacket(*platform::decodePacket(last), last);
+        if (port % 64 == 0) {
+            host.clock.now += milliseconds(200);
+            host.core.tick();
+        }
+    }
+}
+
+void configApplied(benchmark::State &state)
+{
+    const auto routes = static_cast<std::size_t>(state.range(0));
+    std::uint64_t version = 1;
+    route_config config = configWith(routes, version);
+    route_table table;
+    for (auto step : state) {
+        (void)step;
+        config.version = ++version;
+        benchmark::DoNotOptimize(table.accept(config));
+    }
+}
+
+void patchApplied(benchmark::State &state)
+{
+    const auto routes = static_cast<std::size_t>(state.range(0));
+    route_table table;
+    table.accept(configWith(routes, 1));
+    config_patch patch;
+    patch.base = 1;
+    patch.changed = configWith(1, 2);
+    for (auto step : state) {
+        (void)step;
+        benchmark::DoNotOptimize(table.accept(patch));
+        ++patch.base;
+        ++patch.changed.version;
+    }
+}
+
+} // namespace
+
+BENCHMARK(bareForwarding);
+BENCHMARK(packetOfOpenFlow)->Arg(15)->Arg(150)->Arg(73000);
+BENCHMARK(flowPlacedAndEnded)->Arg(15)->Arg(150)->Arg(73000);
+BENCHMARK(configApplied)->Arg(170)->Arg(1700)->Arg(17000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(patchApplied)->Arg(170)->Arg(1700)->Arg(17000)->Unit(benchmark::kMicrosecond);
+BENCHMARK_MAIN();
