--- a/include/figstair/cli/commands.h
+++ b/include/figstair/cli/commands.h
@@ -8,7 +8,8 @@
 /// Exit codes of the program, as listed in docs/OPERATIONS.md.
 enum exit_code : int {
     exitDone = 0,
-    exitDiffers = 1, ///< table diff: there are differences; replay: an expectation failed
+    exitDiffers = 1, ///< table diff: there are differences; replay: an expectation failed;
+                     ///< explain: nothing names the flow
     exitUsage = 2, ///< the command line is wrong
     exitBadInput = 3, ///< a file, a sheet or a trace is wrong
     exitConflict = 4, ///< another operator changed the same rows, or an address is reserved
@@ -24,6 +25,7 @@
 int runEntry(const arguments &words);
 int runTable(const arguments &words);
 int runStatus(const arguments &words);
+int runExplain(const arguments &words);
 int runReplay(const arguments &words);
 
 } // namespace figstair
--- /dev/null
+++ b/src/cli/explain_command.cpp
@@ -0,0 +1,74 @@
+#include <fstream>
+#include <iostream>
+
+#include "command_options.h"
+#include "figstair/cli/commands.h"
+#include "figstair/host/log_reader.h"
+
+namespace po = boost::program_options;
+
+namespace figstair {
+namespace {
+
+constexpr std::int64_t defaultAroundMs = 2000;
+
+void print(const std::vector<const log_line *> &lines, const std::string &flow)
+{
+    const std::int64_t start = lines.front()->timeMs;
+    for (const log_line *line : lines) {
+        const auto own = line->fields.find("flow");
+        const bool isOwn =
+            own != line->fields.end() && own->second.compare(0, flow.size(), flow) == 0;
+        std::cout << (isOwn ? "* " : "  ") << "+" << line->timeMs - start << "ms " << line->host
+                  << " " << line->event;
+        for (const auto &[key, value] : line->fields) {
+            if (key != "time_ms" && key != "event" && key != "host") {
+                std::cout << " " << key << "=" << value;
+            }
+        }
+        std::cout << "\n";
+    }
+}
+
+} // namespace
+
+int runExplain(const arguments &words)
+{
+    po::options_description description("figstair explain --flow CALLER[>ROUTE] [FILE...]");
+    description.add_options()("flow", po::value<std::string>()->required(),
+                              "the flow, as in 100.64.0.7:40001>198.18.0.1:443, or its beginning")(
+        "around-ms", po::value<std::int64_t>()->default_value(defaultAroundMs),
+        "how far around the flow's lines its hosts' and upstreams' events are shown")(
+        "file", po::value<std::vector<std::string>>(), "log files; standard input without any");
+    const command_options options(words, description, "file", -1);
+    if (options.helpWasPrinted()) {
+        return exitDone;
+    }
+    log_contents contents;
+    if (options.has("file")) {
+        for (const std::string &name : options.get<std::vector<std::string>>("file")) {
+            std::ifstream file(name);
+            if (!file) {
+                std::cerr << name << ": cannot be read\n";
+                return exitBadInput;
+            }
+            readLog(name, file, contents);
+        }
+    } else {
+        readLog("standard input", std::cin, contents);
+    }
+    for (const bad_line &line : contents.bad) {
+        std::cerr << line.fileName << ":" << line.number << ": skipped: " << line.problem << "\n";
+    }
+    const auto flow = options.get<std::string>("flow");
+    const auto lines = linesOfFlow(contents, flow, options.get<std::int64_t>("around-ms"));
+    if (lines.empty()) {
+        std::cerr << "figstair explain: no line names the flow " << flow
+                  << "; at high rates a host writes a sample of its decisions\n";
+        return exitDiffers;
+    }
+    print(lines, flow);
+    return exitDone;
+}
+
+} // namespace figstair
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -18,6 +18,7 @@
   figstair table diff|apply|show|history ...  work with the table on the platform
   figstair table rotate-key ...               add a key for flow tokens
   figstair status --host IP:PORT ...          ask a running host
+  figstair explain --flow FLOW [FILE...]      what became of a flow, from hosts' logs
   figstair replay FILE...                     replay recorded traces
   figstair COMMAND --help                     options of one command
   figstair --version
@@ -37,6 +38,9 @@
     if (command == "status") {
         return figstair::runStatus(words);
     }
+    if (command == "explain") {
+        return figstair::runExplain(words);
+    }
     if (command == "replay") {
         return figstair::runReplay(words);
     }
--- /dev/null
+++ b/src/host/log_reader.cpp
@@ -0,0 +1,155 @@
+#include "figstair/host/log_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <istream>
+#include <limits>
+#include <set>
+
+namespace figstair {
+namespace {
+
+constexpr std::string_view timeKey = "time_ms=";
+
+/// Takes the next key=value pair off @p rest. Returns false at the end or at text of another form.
+bool takePair(std::string_view &rest, std::string &key, std::string &value)
+{
+    while (!rest.empty() && rest.front() == ' ') {
+        rest.remove_prefix(1);
+    }
+    const std::size_t equals = rest.find('=');
+    if (equals == std::string_view::npos || equals == 0) {
+        return false;
+    }
+    key = std::string(rest.substr(0, equals));
+    rest.remove_prefix(equals + 1);
+    value.clear();
+    if (rest.empty() || rest.front() != '"') {
+        const std::size_t end = std::min(rest.find(' '), rest.size());
+        value = std::string(rest.substr(0, end));
+        rest.remove_prefix(end);
+        return key.find(' ') == std::string::npos;
+    }
+    rest.remove_prefix(1);
+    while (!rest.empty() && rest.front() != '"') {
+        if (rest.front() == '\\' && rest.size() > 1) {
+            rest.remove_prefix(1);
+        }
+        value += rest.front();
+        rest.remove_prefix(1);
+    }
+    if (rest.empty()) {
+        return false;
+    }
+    rest.remove_prefix(1);
+    return key.find(' ') == std::string::npos;
+}
+
+/// Returns an empty text when @p line was read, and what is wrong with it otherwise.
+std::string parseLine(const std::string &text, log_line &line)
+{
+    const std::size_t start = text.find(timeKey);
+    if (start == std::string::npos) {
+        return "no time_ms";
+    }
+    line.text = text.substr(start);
+    std::string_view rest(line.text);
+    std::string key;
+    std::string value;
+    while (!rest.empty()) {
+        if (!takePair(rest, key, value)) {
+            return "not key=value";
+        }
+        line.fields[key] = value;
+    }
+    const std::string &time = line.fields["time_ms"];
+    const auto [end, status] = std::from_chars(time.data(), time.data() + time.size(), line.timeMs);
+    if (status != std::errc{} || end != time.data() + time.size()) {
+        return "time_ms is not a number";
+    }
+    line.event = line.fields["event"];
+    line.host = line.fields["host"];
+    return line.event.empty() || line.host.empty() ? "no event or host" : "";
+}
+
+const std::string &fieldOf(const log_line &line, const std::string &name)
+{
+    static const std::string none;
+    const auto found = line.fields.find(name);
+    return found == line.fields.end() ? none : found->second;
+}
+
+/// Events that say what a host went through, whatever the flow.
+bool isOfHost(const log_line &line)
+{
+    static const std::set<std::string> events{
+        "started",    "stopped",           "leaving",         "froze",
+        "store_lost", "store_regained",    "config_accepted", "view_listed",
+        "evacuation", "view_history_gone", "send_failed",     "settings_reloaded"};
+    return events.count(line.event) != 0;
+}
+
+bool isOfUpstream(const log_line &line)
+{
+    return line.event == "upstream_entry" || line.event == "upstream_gone"
+        || line.event == "upstream_silent" || line.event == "answer_slow";
+}
+
+} // namespace
+
+void readLog(const std::string &fileName, std::istream &stream, log_contents &contents)
+{
+    std::string text;
+    for (std::size_t number = 1; std::getline(stream, text); ++number) {
+        if (text.empty()) {
+            continue;
+        }
+        log_line line;
+        const std::string problem = parseLine(text, line);
+        if (problem.empty()) {
+            contents.lines.push_back(std::move(line));
+        } else {
+            contents.bad.push_back(bad_line{fileName, number, problem});
+        }
+    }
+}
+
+std::vector<const log_line *> linesOfFlow(const log_contents &contents, const std::string &flow,
+                                          std::int64_t aroundMs)
+{
+    std::int64_t first = std::numeric_limits<std::int64_t>::max();
+    std::int64_t last = std::numeric_limits<std::int64_t>::min();
+    std::set<std::string> hosts;
+    std::set<std::string> upstreams;
+    const auto isOwn = [&](const log_line &line) {
+        return fieldOf(line, "flow").compare(0, flow.size(), flow) == 0;
+    };
+    for (const log_line &line : contents.lines) {
+        if (isOwn(line)) {
+            first = std::min(first, line.timeMs);
+            last = std::max(last, line.timeMs);
+            hosts.insert(line.host);
+            if (!fieldOf(line, "upstream").empty()) {
+                upstreams.insert(fieldOf(line, "upstream"));
+            }
+        }
+    }
+    std::vector<const log_line *> found;
+    if (hosts.empty()) {
+        return found;
+    }
+    for (const log_line &line : contents.lines) {
+        const bool isNear = line.timeMs >= first - aroundMs && line.timeMs <= last + aroundMs
+            && hosts.count(line.host) != 0;
+        const bool isRelated = isOfHost(line)
+            || (isOfUpstream(line) && upstreams.count(fieldOf(line, "upstream")) != 0);
+        if (isOwn(line) || (isNear && isRelated)) {
+            found.push_back(&line);
+        }
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [](const log_line *a, const log_line *b) { return a->timeMs < b->timeMs; });
+    return found;
+}
+
+} // namespace figstair
--- /dev/null
+++ b/tests/host/log_reader_test.cpp
@@ -0,0 +1,79 @@
+#include "figstair/host/log_reader.h"
+
+#include <sstream>
+
+#include <doctest/doctest.h>
+
+using namespace figstair;
+
+namespace {
+
+/// Lines as hosts write them, some with what a collector put in front, some of other origin.
+struct three_failed_requests
+{
+    three_failed_requests()
+    {
+        std::istringstream stream(R"(
+time_ms=1000 event=started host=h1 zone=z version=0.1.0
+   2.5 h1 time_ms=2500 event=upstream_entry host=h1 upstream=0a zone=z draining=0 revision=7
+garbage from elsewhere
+time_ms=3000 event=flow_refused host=h1 flow=10.0.0.1:100>198.18.0.1:443 reason=no_route config=4
+time_ms=4000 event=flow_placed host=h1 flow=10.0.0.2:200>198.18.0.1:443 upstream=0a reason=least_load open=0 config=4
+time_ms=4200 event=upstream_silent host=h1 flow=10.0.0.9:900>198.18.0.1:443 upstream=0a evidence=request_repeated state=ejected
+time_ms=4300 event=upstream_gone host=h1 upstream=0a removed=1 revision=9
+time_ms=5000 event=flow_held host=h2 flow=10.0.0.3:300>198.18.0.1:443 held=3 most_ms=100
+time_ms=5100 event=flow_dropped host=h2 flow=10.0.0.3:300>198.18.0.1:443 reason=held_too_long held_ms=100
+time_ms=5050 event=store_lost host=h2 call=watch reason=unreachable problem="timed \"out\""
+time_ms=x event=broken host=h1
+)");
+        readLog("log", stream, contents);
+    }
+
+    std::string eventsOf(const std::string &flow)
+    {
+        std::string events;
+        for (const log_line *line : linesOfFlow(contents, flow, 2000)) {
+            events += line->event + " ";
+        }
+        return events;
+    }
+
+    log_contents contents;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(three_failed_requests,
+                  "log_reader: refused at once: the line says why, by which configuration")
+{
+    CHECK(eventsOf("10.0.0.1:100") == "started flow_refused ");
+    const auto lines = linesOfFlow(contents, "10.0.0.1:100>198.18.0.1:443", 0);
+    REQUIRE(lines.size() == 1);
+    CHECK(lines.front()->fields.at("reason") == "no_route");
+    CHECK(lines.front()->fields.at("config") == "4");
+}
+
+TEST_CASE_FIXTURE(three_failed_requests,
+                  "log_reader: opened and cut: its upstream's end is shown with it")
+{
+    CHECK(eventsOf("10.0.0.2:200") == "upstream_entry flow_placed upstream_silent upstream_gone ");
+}
+
+TEST_CASE_FIXTURE(
+    three_failed_requests,
+    "log_reader: silent until the deadline: held, dropped, what its host went through")
+{
+    CHECK(eventsOf("10.0.0.3:300") == "flow_held store_lost flow_dropped ");
+    const auto lines = linesOfFlow(contents, "10.0.0.3", 2000);
+    CHECK(lines.at(1)->fields.at("problem") == "timed \"out\"");
+}
+
+TEST_CASE_FIXTURE(three_failed_requests,
+                  "log_reader: lines of other origin: skipped, named by file and line")
+{
+    REQUIRE(contents.bad.size() == 2);
+    CHECK(contents.bad.front().fileName == "log");
+    CHECK(contents.bad.front().number == 4);
+    CHECK(contents.lines.size() == 9);
+    CHECK(linesOfFlow(contents, "10.9.9.9:1", 2000).empty());
+}
