Give a host that starts without the store its view from seeds

A listing was applied twice at the start. Ruled out: slow starts (5 ms to the first call); dead upstreams. The answer holds the shared key, so it goes to announced addresses only. Not measured yet.

--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -45,6 +45,9 @@
 
     void onPeerReport(const peer_report &report);
 
+    /// Everything this host knows of the store's records, as changes.
+    std::vector<record_change> snapshot() const;
+
     /// Does what is due. To be called at nextDeadline() or earlier.
     void tick();
 
--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/peer_roster.h
@@ -30,6 +30,9 @@
     /// Takes every host that @p listing lacks as no longer named by the store.
     void retain(const std::vector<record_change> &listing);
 
+    /// Adds the hosts that the store names, and this one.
+    void appendSnapshot(std::vector<record_change> &records) const;
+
     /// Notes a message from @p host. Returns false when it comes from an earlier life of it.
     bool onHeard(const host_record &host, bool isLeaving, monotonic_time now);
 
--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -51,6 +51,9 @@
     /// during an outage of the store return after it.
     void keepLapsedUntil(monotonic_time until) { m_graceUntil = until; }
 
+    /// Adds what would bring another directory to this state.
+    void appendSnapshot(monotonic_time now, std::vector<record_change> &records) const;
+
     /// Ends pending lapses and forgets upstreams whose flows have ended.
     void advance(monotonic_time now);
 
--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -29,6 +29,8 @@
     feed_call nextCall(monotonic_time now, unsigned rank);
 
     void onListed(std::uint64_t revision, monotonic_time now);
+    /// Another host's whole view was taken in place of a listing.
+    void onSnapshot(std::uint64_t revision, milliseconds age, monotonic_time now);
     void onWatched(std::uint64_t revision, monotonic_time now);
     void onFailed(bool isHistoryGone, monotonic_time now);
 
--- a/include/figstair/host/entry_process_settings.h
+++ b/include/figstair/host/entry_process_settings.h
@@ -13,6 +13,7 @@
     endpoint readinessListen;
     endpoint metricsListen; ///< port 0: not served
     endpoint store;
+    std::vector<endpoint> seeds; ///< other hosts' addresses for messages between hosts
     milliseconds storeTimeout{900}; ///< how long one call to the store may take
     milliseconds announcementLife{45000}; ///< how long the store keeps a silent host's announcement
     milliseconds grace{6000}; ///< time from the request to stop until the process is killed
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -27,14 +27,16 @@
         /// Sends @p message to all hosts that rely on this one for changes.
         virtual void relay(const entry_message &message) = 0;
         virtual void sendToPeer(const endpoint &to, const entry_message &message) = 0;
+        virtual void sendUnsigned(const endpoint &to, const unsigned_message &message) = 0;
+        virtual peer_key key() const = 0;
         virtual void adoptKey(const peer_key &key) = 0;
         virtual void logEvent(std::string_view name, event_fields fields) = 0;
         virtual void count(entry_counter which, std::uint64_t amount) = 0;
     };
 
     store_session(std::unique_ptr<fleet_store> store, entry_core &core, const clock_source &clock,
-                  const host_record &self, milliseconds announcementLife, std::uint64_t seed,
-                  environment &surroundings);
+                  const host_record &self, milliseconds announcementLife,
+                  std::vector<endpoint> seeds, std::uint64_t seed, environment &surroundings);
 
     /// Starts calls that are due. To be called at nextDeadline() or earlier.
     void tick();
@@ -44,6 +46,12 @@
     void onPull(const view_pull &pull);
     void onPeerReport(const peer_report &report);
 
+    /// A host that has started without the store asks for the whole view.
+    void onViewRequest(const endpoint &from, const view_request &request);
+
+    /// A seed's answer. Taken only while this host has no view of its own.
+    void onSnapshot(const view_snapshot &snapshot);
+
     /// Takes this host's announcement back.
     void withdraw();
 
@@ -63,6 +71,8 @@
     void onWatched(std::uint64_t after, store_reply<store_records> reply);
     void noteFailure(const char *call, const store_error &error);
     void noteSuccess();
+    void takeListing(const store_records &listing);
+    void askSeeds(monotonic_time now);
     void take(const std::vector<record_change> &records);
     std::vector<record_change> forRelay(const std::vector<record_change> &records) const;
     void keep(std::uint64_t after, std::uint64_t revision,
@@ -76,6 +86,9 @@
     const clock_source &m_clock;
     host_record m_self;
     milliseconds m_announcementLife;
+    std::vector<endpoint> m_seeds;
+    std::uint64_t m_seedNonce = 0; ///< of the last request; 0: none was sent
+    monotonic_time m_nextSeedRequest{};
     environment &m_environment;
     view_feed m_feed;
     std::mt19937_64 m_random;
--- a/include/figstair/wire/entry_message.h
+++ b/include/figstair/wire/entry_message.h
@@ -42,6 +42,24 @@
     endpoint replyTo;
 };
 
+/// Asks a seed for its whole view. Sent without a code: the sender does not know the key yet.
+struct view_request
+{
+    std::uint64_t nonce = 0;
+    std::string hostName;
+};
+
+/// The whole view, for a host that has started while the store does not answer it.
+struct view_snapshot
+{
+    std::uint64_t nonce = 0; ///< of the request
+    peer_key key{};
+    std::uint64_t revision = 0;
+    milliseconds age{0}; ///< time since the store confirmed the view
+    std::vector<record_change> records;
+};
+
+using unsigned_message = std::variant<view_request, view_snapshot>;
 using entry_message = std::variant<peer_report, view_changes, view_pull>;
 
 /// Reports bytes that are no message between hosts, or not from one that has the shared key.
@@ -53,6 +71,15 @@
 /// Greatest size of an encoded message between hosts, in bytes.
 constexpr std::size_t mostEntryMessageBytes = 49152;
 
+/// CBOR behind a mark that no signed message begins with.
+byte_buffer encodeUnsigned(const unsigned_message &message);
+
+/// Whether @p bytes claim to be an unsigned message.
+bool isUnsigned(byte_view bytes);
+
+/// Fails with entry_message_error.
+boost::leaf::result<unsigned_message> decodeUnsigned(byte_view bytes);
+
 /// CBOR, followed by an authentication code.
 byte_buffer encodeEntryMessage(const peer_key &key, const entry_message &message);
 
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -692,6 +692,18 @@
     m_roster.retain(listing);
 }
 
+std::vector<record_change> entry_core::snapshot() const
+{
+    std::vector<record_change> records;
+    record_change change;
+    change.kind = record_kind::config;
+    change.content = m_routes.config();
+    records.push_back(change);
+    m_directory.appendSnapshot(m_clock.monotonic(), records);
+    m_roster.appendSnapshot(records);
+    return records;
+}
+
 void entry_core::onPeerReport(const peer_report &report)
 {
     const monotonic_time now = m_clock.monotonic();
--- a/src/core/peer_roster.cpp
+++ b/src/core/peer_roster.cpp
@@ -82,6 +82,23 @@
     }
 }
 
+void peer_roster::appendSnapshot(std::vector<record_change> &records) const
+{
+    const auto append = [&](const host_record &host) {
+        record_change change;
+        change.kind = record_kind::host;
+        change.name = host.name;
+        change.content = host;
+        records.push_back(std::move(change));
+    };
+    append(m_self);
+    for (const auto &[name, other] : m_peers) {
+        if (other.isListed) {
+            append(other.entry);
+        }
+    }
+}
+
 bool peer_roster::onHeard(const host_record &host, bool isLeaving, monotonic_time now)
 {
     if (host.name == m_self.name) {
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -192,6 +192,35 @@
     touch();
 }
 
+void upstream_directory::appendSnapshot(monotonic_time now,
+                                        std::vector<record_change> &records) const
+{
+    for (const known_upstream &upstream : m_upstreams) {
+        if (upstream.isListed) {
+            record_change change;
+            change.kind = record_kind::upstream;
+            change.upstreamId = upstream.entry.id;
+            change.revision = upstream.revision;
+            upstream_record entry = upstream.entry;
+            entry.coldFor =
+                std::max(milliseconds::zero(),
+                         std::chrono::duration_cast<milliseconds>(upstream.coldUntil - now));
+            change.content = entry;
+            records.push_back(std::move(change));
+        }
+    }
+    for (const auto &[name, zone] : m_evacuations) {
+        if (zone.isInForce) {
+            record_change change;
+            change.kind = record_kind::evacuation;
+            change.name = name;
+            change.revision = zone.revision;
+            change.content = zone_evacuation{};
+            records.push_back(std::move(change));
+        }
+    }
+}
+
 void upstream_directory::advance(monotonic_time now)
 {
     if (m_hasLapsing && now >= m_graceUntil) {
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -114,6 +114,13 @@
     confirm(revision, m_calledAt);
 }
 
+void view_feed::onSnapshot(std::uint64_t revision, milliseconds age, monotonic_time now)
+{
+    m_needsListing = false;
+    m_isLoaded = true;
+    confirm(revision, now - age);
+}
+
 void view_feed::onWatched(std::uint64_t revision, monotonic_time now)
 {
     onAnswered(now);
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -1,5 +1,6 @@
 #include "figstair/host/entry_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 #include <random>
@@ -95,7 +96,7 @@
         }
         m_store = std::make_unique<store_session>(
             adapter.openStore(m_io, settings.store, settings.storeTimeout), *m_core, m_clock,
-            m_settings.core.self, settings.announcementLife, randomNumber(), *this);
+            m_settings.core.self, settings.announcementLife, settings.seeds, randomNumber(), *this);
         logEvent("started",
                  {{"zone", settings.core.self.zone},
                   {"listen", toString(settings.listen)},
@@ -181,6 +182,13 @@
         }
     }
 
+    void sendUnsigned(const endpoint &to, const unsigned_message &message) override
+    {
+        sendToPeer(to, encodeUnsigned(message));
+    }
+
+    peer_key key() const override { return m_key.value_or(peer_key{}); }
+
     void adoptKey(const peer_key &key) override
     {
         if (!m_key || *m_key != key) {
@@ -259,23 +267,30 @@
             noticeFreeze();
             for (int count = 0; count < packetsPerWake; ++count) {
                 boost::system::error_code problem;
-                const std::size_t size = m_peers.receive(asio::buffer(m_peerBuffer), 0, problem);
+                udp::endpoint from;
+                const std::size_t size =
+                    m_peers.receive_from(asio::buffer(m_peerBuffer), from, 0, problem);
                 if (problem) {
                     break;
                 }
-                onPeerMessage(byte_view(m_peerBuffer.data(), size));
+                onPeerMessage(fromAsio(from), byte_view(m_peerBuffer.data(), size));
             }
             receivePeerMessages();
         });
     }
 
-    void onPeerMessage(byte_view bytes)
+    void onPeerMessage(const endpoint &from, byte_view bytes)
     {
-        if (!m_key) {
+        if (!m_key && !isUnsigned(bytes)) {
             return;
         }
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
+                if (isUnsigned(bytes)) {
+                    BOOST_LEAF_AUTO(request, decodeUnsigned(bytes));
+                    takeUnsigned(from, request);
+                    return {};
+                }
                 BOOST_LEAF_AUTO(message, decodeEntryMessage(*m_key, bytes));
                 std::visit([this](const auto &content) { take(content); }, message);
                 return {};
@@ -287,6 +302,23 @@
             [this] { count(entry_counter::peerMessagesRejected, 1); });
     }
 
+    void takeUnsigned(const endpoint &from, const unsigned_message &message)
+    {
+        if (const auto *request = std::get_if<view_request>(&message)) {
+            if (m_key) {
+                m_store->onViewRequest(from, *request);
+            }
+        } else if (isSeed(from)) {
+            m_store->onSnapshot(std::get<view_snapshot>(message));
+        }
+    }
+
+    bool isSeed(const endpoint &from) const
+    {
+        const std::vector<endpoint> &seeds = m_settings.seeds;
+        return std::find(seeds.begin(), seeds.end(), from) != seeds.end();
+    }
+
     void take(const peer_report &report)
     {
         m_core->onPeerReport(report);
--- a/src/host/entry_process_settings.cpp
+++ b/src/host/entry_process_settings.cpp
@@ -56,6 +56,16 @@
          }},
         {"host", "internal_ports", true, "the first and the last port, separated by a comma",
          [&s](const std::string &v) { return readPortRange(v, s.core.self.peerAddress.port); }},
+        {"host", "seeds", false, "addresses of other hosts, separated by commas",
+         [&s](const std::string &v) {
+             // Seeds are named by another port of theirs; the ports between hosts are the same on
+             // all.
+             const bool isRead = readEndpoints(v, s.seeds);
+             for (endpoint &seed : s.seeds) {
+                 seed.port = s.core.self.peerAddress.port;
+             }
+             return isRead;
+         }},
         {"host", "cpu_share", false, "a share of a processor core from 0.001 to 1024",
          [&s](const std::string &v) {
              double share = 0;
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -16,6 +16,9 @@
 /// Share of its life after which an announcement is renewed.
 constexpr int renewalsPerLife = 3;
 
+/// Distance of requests to seeds while the store does not answer a host that has just started.
+constexpr milliseconds seedRequestInterval{250};
+
 /// Pause after a failed announcement.
 constexpr milliseconds announcementPause{1000};
 
@@ -23,13 +26,14 @@
 
 store_session::store_session(std::unique_ptr<fleet_store> store, entry_core &core,
                              const clock_source &clock, const host_record &self,
-                             milliseconds announcementLife, std::uint64_t seed,
-                             environment &surroundings)
+                             milliseconds announcementLife, std::vector<endpoint> seeds,
+                             std::uint64_t seed, environment &surroundings)
     : m_store(std::move(store))
     , m_core(core)
     , m_clock(clock)
     , m_self(self)
     , m_announcementLife(announcementLife)
+    , m_seeds(std::move(seeds))
     , m_environment(surroundings)
     , m_feed(seed)
     , m_random(seed)
@@ -45,6 +49,9 @@
 {
     const monotonic_time now = m_clock.monotonic();
     startCall(m_feed.nextCall(now, rank()));
+    if (!m_feed.isLoaded() && now >= m_nextSeedRequest && !m_wasReachable) {
+        askSeeds(now);
+    }
     if (m_feed.takePull(now)) {
         m_environment.relay(view_pull{m_feed.revision(), m_self.peerAddress});
     }
@@ -85,7 +92,9 @@
              {"reason", std::string(toText(error.why))},
              {"problem", error.problem},
              {"view_revision", std::to_string(m_feed.revision())},
-             {"view_age_ms", std::to_string(m_feed.age(m_clock.monotonic()).count())}});
+             {"view_age_ms",
+              m_feed.isLoaded() ? std::to_string(m_feed.age(m_clock.monotonic()).count())
+                                : std::string("none")}});
     }
 }
 
@@ -157,9 +166,7 @@
     const bool isFirst = !m_feed.isLoaded();
     m_feed.onListed(listing.revision, now);
     noteSuccess();
-    m_history.clear();
-    take(listing.records);
-    m_core.onListing(listing.records, listing.revision);
+    takeListing(listing);
     m_environment.logEvent("view_listed",
                            {{"revision", std::to_string(listing.revision)},
                             {"records", std::to_string(listing.records.size())},
@@ -168,6 +175,18 @@
     tick();
 }
 
+void store_session::takeListing(const store_records &listing)
+{
+    m_history.clear();
+    m_core.keepLapsedUntil(m_feed.graceUntil());
+    for (const record_change &change : listing.records) {
+        if (const auto *key = std::get_if<shared_key>(&change.content)) {
+            m_environment.adoptKey(key->key);
+        }
+    }
+    m_core.onListing(listing.records, listing.revision);
+}
+
 void store_session::offerKeyIfMissing(const std::vector<record_change> &listing)
 {
     const bool isThere = std::any_of(listing.begin(), listing.end(), [](const auto &change) {
@@ -250,6 +269,47 @@
     m_environment.sendToPeer(pull.replyTo, changes);
 }
 
+void store_session::askSeeds(monotonic_time now)
+{
+    m_nextSeedRequest = now + seedRequestInterval;
+    m_seedNonce = m_random();
+    for (const endpoint &seed : m_seeds) {
+        m_environment.sendUnsigned(seed, view_request{m_seedNonce, m_self.name});
+    }
+}
+
+void store_session::onViewRequest(const endpoint &from, const view_request &request)
+{
+    const auto &peers = m_core.roster().peers();
+    const auto known = peers.find(request.hostName);
+    if (!m_feed.isLoaded() || known == peers.end() || known->second.entry.peerAddress != from) {
+        // Whole views go to hosts that the store has named only.
+        m_environment.count(entry_counter::peerMessagesRejected, 1);
+        return;
+    }
+    view_snapshot snapshot;
+    snapshot.nonce = request.nonce;
+    snapshot.key = m_environment.key();
+    snapshot.revision = m_feed.revision();
+    snapshot.age = m_feed.age(m_clock.monotonic());
+    snapshot.records = m_core.snapshot();
+    m_environment.sendUnsigned(from, snapshot);
+}
+
+void store_session::onSnapshot(const view_snapshot &snapshot)
+{
+    if (m_feed.isLoaded() || snapshot.nonce != m_seedNonce || m_seedNonce == 0) {
+        return;
+    }
+    m_environment.adoptKey(snapshot.key);
+    m_feed.onSnapshot(snapshot.revision, snapshot.age, m_clock.monotonic());
+    takeListing(store_records{snapshot.records, snapshot.revision});
+    m_environment.logEvent("view_from_seed",
+                           {{"revision", std::to_string(snapshot.revision)},
+                            {"records", std::to_string(snapshot.records.size())},
+                            {"age_ms", std::to_string(snapshot.age.count())}});
+}
+
 void store_session::onPeerReport(const peer_report &report)
 {
     m_feed.onPeerView(report.viewRevision, report.viewAge, m_clock.monotonic());
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -21,6 +21,11 @@
 constexpr std::uint64_t reportKind = 1;
 constexpr std::uint64_t changesKind = 2;
 constexpr std::uint64_t pullKind = 3;
+constexpr std::uint64_t requestKind = 4;
+constexpr std::uint64_t snapshotKind = 5;
+
+/// First byte of unsigned messages; signed ones begin with a CBOR array.
+constexpr std::uint8_t unsignedMark = 0;
 
 /// Error number that nlohmann::json uses for errors of its callers.
 constexpr int contentError = 501;
@@ -91,8 +96,8 @@
 
 json toJson(const host_record &host)
 {
-    return json::array({host.name, host.zone, toString(host.peerAddress), host.incarnation,
-                        host.strength});
+    return json::array(
+        {host.name, host.zone, toString(host.peerAddress), host.incarnation, host.strength});
 }
 
 host_record hostFrom(const json &value)
@@ -169,6 +174,22 @@
     return entry;
 }
 
+json toJson(const peer_key &key)
+{
+    return json::binary_t({key.begin(), key.end()});
+}
+
+peer_key keyFrom(const json &value)
+{
+    peer_key key{};
+    const std::vector<std::uint8_t> &bytes = value.get_binary();
+    if (bytes.size() != key.size()) {
+        refuse("key of another size", value);
+    }
+    std::copy(bytes.begin(), bytes.end(), key.begin());
+    return key;
+}
+
 /// Turns the content of a change into JSON; its alternative is the first member.
 struct content_writer
 {
@@ -182,10 +203,7 @@
     {
         return json::array({content.base, toJson(content.changed), content.removedRoutes});
     }
-    json operator()(const shared_key &content) const
-    {
-        return json::binary_t({content.key.begin(), content.key.end()});
-    }
+    json operator()(const shared_key &content) const { return toJson(content.key); }
 };
 
 json toJson(const record_change &change)
@@ -226,20 +244,12 @@
     case 5:
         change.content = hostFrom(content);
         break;
-    case 6: {
-        shared_key key;
-        const std::vector<std::uint8_t> &bytes = content.get_binary();
-        if (bytes.size() != key.key.size()) {
-            refuse("key of another size", value);
-        }
-        std::copy(bytes.begin(), bytes.end(), key.key.begin());
-        change.content = key;
+    case 6:
+        change.content = shared_key{keyFrom(content)};
         break;
-    }
     case 7:
-        change.content
-            = config_patch{content.at(0).get<std::uint64_t>(), configFrom(content.at(1)),
-                           content.at(2).get<std::vector<std::string>>()};
+        change.content = config_patch{content.at(0).get<std::uint64_t>(), configFrom(content.at(1)),
+                                      content.at(2).get<std::vector<std::string>>()};
         break;
     default:
         refuse("unknown content", value);
@@ -247,6 +257,52 @@
     return change;
 }
 
+json toJson(const std::vector<record_change> &records)
+{
+    json list = json::array();
+    for (const record_change &change : records) {
+        list.push_back(toJson(change));
+    }
+    return list;
+}
+
+std::vector<record_change> recordsFrom(const json &list)
+{
+    std::vector<record_change> records;
+    for (const json &item : list) {
+        records.push_back(changeFrom(item));
+    }
+    return records;
+}
+
+struct unsigned_writer
+{
+    json operator()(const view_request &request) const
+    {
+        return json::array({requestKind, request.nonce, request.hostName});
+    }
+    json operator()(const view_snapshot &snapshot) const
+    {
+        return json::array({snapshotKind, snapshot.nonce, toJson(snapshot.key), snapshot.revision,
+                            snapshot.age.count(), toJson(snapshot.records)});
+    }
+};
+
+unsigned_message unsignedFrom(const json &value)
+{
+    switch (value.at(0).get<std::uint64_t>()) {
+    case requestKind:
+        return view_request{value.at(1).get<std::uint64_t>(), value.at(2).get<std::string>()};
+    case snapshotKind:
+        return view_snapshot{value.at(1).get<std::uint64_t>(), keyFrom(value.at(2)),
+                             value.at(3).get<std::uint64_t>(),
+                             milliseconds(value.at(4).get<std::int64_t>()),
+                             recordsFrom(value.at(5))};
+    default:
+        refuse("unknown kind of message", value);
+    }
+}
+
 struct message_writer
 {
     json operator()(const peer_report &report) const
@@ -257,12 +313,8 @@
     }
     json operator()(const view_changes &changes) const
     {
-        json records = json::array();
-        for (const record_change &change : changes.records) {
-            records.push_back(toJson(change));
-        }
         return json::array({changesKind, changes.after, changes.revision, changes.age.count(),
-                            changes.grace.count(), std::move(records)});
+                            changes.grace.count(), toJson(changes.records)});
     }
     json operator()(const view_pull &pull) const
     {
@@ -290,9 +342,7 @@
         changes.revision = value.at(2).get<std::uint64_t>();
         changes.age = milliseconds(value.at(3).get<std::int64_t>());
         changes.grace = milliseconds(value.at(4).get<std::int64_t>());
-        for (const json &item : value.at(5)) {
-            changes.records.push_back(changeFrom(item));
-        }
+        changes.records = recordsFrom(value.at(5));
         return changes;
     }
     case pullKind:
@@ -304,6 +354,31 @@
 
 } // namespace
 
+byte_buffer encodeUnsigned(const unsigned_message &message)
+{
+    byte_buffer bytes{unsignedMark};
+    json::to_cbor(std::visit(unsigned_writer{}, message), bytes);
+    return bytes;
+}
+
+bool isUnsigned(byte_view bytes)
+{
+    return !bytes.empty() && bytes[0] == unsignedMark;
+}
+
+leaf::result<unsigned_message> decodeUnsigned(byte_view bytes)
+{
+    if (!isUnsigned(bytes) || bytes.size() > mostEntryMessageBytes) {
+        return leaf::new_error(entry_message_error{"bad size or mark"});
+    }
+    const byte_view content = bytes.subspan(1);
+    try {
+        return unsignedFrom(json::from_cbor(content.begin(), content.end()));
+    } catch (const json::exception &error) {
+        return leaf::new_error(entry_message_error{error.what()});
+    }
+}
+
 byte_buffer encodeEntryMessage(const peer_key &key, const entry_message &message)
 {
     byte_buffer bytes = json::to_cbor(std::visit(message_writer{}, message));
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -71,12 +71,20 @@
     {
         toOne.push_back(message);
     }
+    void sendUnsigned(const endpoint &to, const unsigned_message &message) override
+    {
+        unsignedTo.push_back(to);
+        unsignedSent.push_back(message);
+    }
+    peer_key key() const override { return peer_key{7}; }
     void adoptKey(const peer_key &key) override { keys.push_back(key); }
     void logEvent(std::string_view name, event_fields) override { events.emplace_back(name); }
     void count(entry_counter, std::uint64_t) override { }
 
     std::vector<entry_message> toAll;
     std::vector<entry_message> toOne;
+    std::vector<endpoint> unsignedTo;
+    std::vector<unsigned_message> unsignedSent;
     std::vector<peer_key> keys;
     std::vector<std::string> events;
 };
@@ -117,7 +125,7 @@
         auto owned = std::make_unique<scripted_store>();
         store = owned.get();
         session = std::make_unique<store_session>(std::move(owned), *core, clock, settings.self,
-                                                  milliseconds(30000), 1, surroundings);
+                                                  milliseconds(30000), seeds, 1, surroundings);
         session->tick();
     }
 
@@ -152,6 +160,7 @@
         }
     }
 
+    std::vector<endpoint> seeds{*parseEndpoint("10.0.0.8:7720")};
     manual_clock clock;
     silent_output output;
     entry_settings settings;
@@ -304,3 +313,47 @@
     CHECK(std::count(surroundings.events.begin(), surroundings.events.end(), "store_regained")
           == 1);
 }
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: started while the store refuses: takes a seed's view, once")
+{
+    store->lists.back()(store_error{store_error::reason::unreachable, "reset"});
+    pass(300);
+    REQUIRE_FALSE(surroundings.unsignedSent.empty());
+    CHECK((surroundings.unsignedTo.back() == seeds.front()));
+    const auto request = std::get<view_request>(surroundings.unsignedSent.back());
+    view_snapshot snapshot{request.nonce + 1, peer_key{9}, 40, milliseconds(50), {}};
+    snapshot.records.push_back(upstreamChange(1, 30));
+    session->onSnapshot(snapshot);
+    CHECK(candidates() == 0);
+    snapshot.nonce = request.nonce;
+    session->onSnapshot(snapshot);
+    CHECK(candidates() == 1);
+    CHECK(session->feed().revision() == 40);
+    CHECK(surroundings.keys.back() == peer_key{9});
+    snapshot.records.clear();
+    session->onSnapshot(snapshot);
+    CHECK(candidates() == 1);
+}
+
+TEST_CASE_FIXTURE(
+    session_with_store,
+    "store_session: a whole view is asked for: given to hosts that the store named only")
+{
+    record_change known;
+    known.kind = record_kind::host;
+    known.name = "h2";
+    known.revision = 3;
+    known.content = host_record{"h2", "z", *parseEndpoint("10.0.0.2:7720"), 5, 0};
+    answerList(20, {upstreamChange(1, 10), known});
+    session->onViewRequest(*parseEndpoint("10.0.0.3:7720"), view_request{4, "h2"});
+    session->onViewRequest(*parseEndpoint("10.0.0.2:7720"), view_request{4, "h3"});
+    CHECK(surroundings.unsignedSent.empty());
+    session->onViewRequest(*parseEndpoint("10.0.0.2:7720"), view_request{4, "h2"});
+    REQUIRE(surroundings.unsignedSent.size() == 1);
+    const auto &snapshot = std::get<view_snapshot>(surroundings.unsignedSent.front());
+    CHECK(snapshot.nonce == 4);
+    CHECK(snapshot.revision == 20);
+    CHECK(snapshot.key == peer_key{7});
+    CHECK(snapshot.records.size() == 4);
+}
--- a/tests/wire/entry_message_test.cpp
+++ b/tests/wire/entry_message_test.cpp
@@ -137,3 +137,21 @@
     byte_buffer bytes(mostEntryMessageBytes + 1);
     CHECK_FALSE(succeeds([&] { return decodeEntryMessage(key, bytes); }));
 }
+
+TEST_CASE(
+    "entry_message: a request for a whole view and its answer: read back, told from signed ones")
+{
+    const byte_buffer request = encodeUnsigned(view_request{5, "h"});
+    CHECK(isUnsigned(request));
+    CHECK_FALSE(isUnsigned(encodeEntryMessage(key, view_pull{5, {}})));
+    CHECK_FALSE(succeeds([&] { return decodeEntryMessage(key, request); }));
+    const auto back = valueOf([&] { return decodeUnsigned(request); });
+    CHECK(std::get<view_request>(back).hostName == "h");
+    view_snapshot snapshot{6, key, 77, milliseconds(9), someChanges().records};
+    const auto answer = valueOf([&] { return decodeUnsigned(encodeUnsigned(snapshot)); });
+    CHECK(std::get<view_snapshot>(answer).key == key);
+    CHECK(std::get<view_snapshot>(answer).records.size() == snapshot.records.size());
+    byte_buffer cut = encodeUnsigned(snapshot);
+    cut.resize(cut.size() / 2);
+    CHECK_FALSE(succeeds([&] { return decodeUnsigned(cut); }));
+}
