Let a host that has just started hear others before it waits for changes itself

Requests for missed changes went to all hosts of the zone; they go to the one that stated a newer view.

--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -93,6 +93,8 @@
     view_feed m_feed;
     std::mt19937_64 m_random;
     std::deque<kept_change> m_history;
+    endpoint m_aheadPeer; ///< a host that stated a newer view
+    monotonic_time m_loadedAt{};
     std::uint64_t m_lease = 0;
     bool m_isAnnounced = false;
     bool m_isAnnouncing = false;
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -10,6 +10,10 @@
 /// Key of the ranking that names the host which reads the store for all.
 constexpr std::uint64_t readerKey = 1;
 
+/// After its first view a host does not take itself for the first one until it can have heard
+/// others. When all hosts start, each would otherwise wait for each of the others' announcements.
+constexpr milliseconds settleTime{1200};
+
 /// Changes kept for hosts that missed them.
 constexpr std::size_t mostKeptChanges = 64;
 
@@ -42,7 +46,9 @@
 
 unsigned store_session::rank() const
 {
-    return m_core.roster().rankOf(readerKey, m_clock.monotonic());
+    const monotonic_time now = m_clock.monotonic();
+    const unsigned rank = m_core.roster().rankOf(readerKey, now);
+    return now - m_loadedAt < settleTime ? std::max(rank, 1U) : rank;
 }
 
 void store_session::tick()
@@ -53,7 +59,7 @@
         askSeeds(now);
     }
     if (m_feed.takePull(now)) {
-        m_environment.relay(view_pull{m_feed.revision(), m_self.peerAddress});
+        m_environment.sendToPeer(m_aheadPeer, view_pull{m_feed.revision(), m_self.peerAddress});
     }
     if (m_feed.isLoaded() && !m_isAnnouncing && !m_isWithdrawn && now >= m_nextAnnouncement) {
         continueAnnouncing();
@@ -177,6 +183,9 @@
 
 void store_session::takeListing(const store_records &listing)
 {
+    if (m_loadedAt == monotonic_time{}) {
+        m_loadedAt = m_clock.monotonic();
+    }
     m_history.clear();
     m_core.keepLapsedUntil(m_feed.graceUntil());
     for (const record_change &change : listing.records) {
@@ -312,6 +321,9 @@
 
 void store_session::onPeerReport(const peer_report &report)
 {
+    if (report.viewRevision > m_feed.revision()) {
+        m_aheadPeer = report.sender.peerAddress;
+    }
     m_feed.onPeerView(report.viewRevision, report.viewAge, m_clock.monotonic());
 }
 
