--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -9,6 +9,9 @@
 /// so this is the age that a view reaches on a calm day. One call in this time for all hosts.
 constexpr milliseconds watchWait{1100};
 
+/// Pause after changes, so that one call brings several of a series. Far below the tightest bound.
+constexpr milliseconds batchPause{200};
+
 /// Age at which a host reads by itself. Above what a calm day shows; the tightest bound on a change
 /// is 3 s from the store's word, and a reading takes up to one call's timeout.
 constexpr milliseconds staleAge{1500};
@@ -124,6 +127,9 @@
 void view_feed::onWatched(std::uint64_t revision, monotonic_time now)
 {
     onAnswered(now);
+    if (revision > m_revision) {
+        m_notBefore = now + batchPause;
+    }
     confirm(revision, std::max(m_calledAt, now - answerAge));
 }
 
