Keep when each zone was heard last, look through hosts ten times a second, measure control at size

Cause: each placement asked for each zone whether any of its hosts was heard, by looking at all hosts: at 10,000 hosts that is milliseconds a placement.

--- /dev/null
+++ b/bench/entry_footprint.cpp
@@ -0,0 +1,214 @@
+// Memory, message sizes and processor time of the packet path's control, at three sizes each.
+
+#include <chrono>
+#include <iostream>
+
+#include <malloc.h>
+
+#include "figstair/core/entry_core.h"
+#include "figstair/wire/entry_message.h"
+
+using namespace figstair;
+
+namespace {
+
+class still_clock : public clock_source
+{
+public:
+    monotonic_time monotonic() const override { return now; }
+    wall_time wall() const override { return wall_time(now.time_since_epoch()); }
+
+    monotonic_time now{milliseconds(1000000)};
+};
+
+class no_output : public entry_output
+{
+public:
+    void forward(byte_view, const known_upstream &) override { }
+    void reset(const flow_id &, std::uint32_t) override { }
+    void sendToPeer(const endpoint &, byte_view) override { }
+    void logEvent(std::string_view, event_fields) override { }
+    void count(entry_counter, std::uint64_t) override { }
+    void observe(entry_distribution, milliseconds) override { }
+};
+
+constexpr unsigned zones = 23;
+
+std::string zoneName(std::uint64_t number)
+{
+    return "zone-" + std::to_string(number % zones);
+}
+
+record_change upstreamChange(std::uint64_t id)
+{
+    upstream_record entry;
+    entry.id = id;
+    entry.address = *parseEndpoint("10.128.0.9:8080");
+    entry.service = "service-" + std::to_string(id % 100);
+    entry.zone = zoneName(id);
+    entry.slots = 4;
+    entry.bornMs = 1700000000000;
+    record_change change;
+    change.kind = record_kind::upstream;
+    change.upstreamId = id;
+    change.revision = id;
+    change.content = entry;
+    return change;
+}
+
+host_record hostRecord(std::uint64_t number)
+{
+    return host_record{"frontend-" + zoneName(number) + "-" + std::to_string(number),
+                       zoneName(number), *parseEndpoint("10.1.0.10:7720"), 1, 100};
+}
+
+route_config configWith(std::size_t routes)
+{
+    route_config config;
+    config.version = 1;
+    for (std::size_t index = 0; index < routes; ++index) {
+        config.routes.push_back(route{"r-" + std::to_string(index),
+                                      0xC6120001 + static_cast<std::uint32_t>(index),
+                                      443,
+                                      {{"service-" + std::to_string(index % 100), 1}},
+                                      milliseconds(4000),
+                                      milliseconds(250),
+                                      1});
+    }
+    return config;
+}
+
+struct bare_host
+{
+    static entry_settings settings()
+    {
+        entry_settings result;
+        result.self = hostRecord(0);
+        return result;
+    }
+
+    still_clock clock;
+    no_output output;
+    entry_core core{settings(), clock, 1, output};
+};
+
+std::size_t heapBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+template <typename action> double microseconds(unsigned rounds, action what)
+{
+    const auto start = std::chrono::steady_clock::now();
+    for (unsigned round = 0; round < rounds; ++round) {
+        what();
+    }
+    const std::chrono::duration<double, std::micro> time = std::chrono::steady_clock::now() - start;
+    return time.count() / rounds;
+}
+
+void print(const char *what, std::size_t size, double value, const char *unit)
+{
+    std::cout << "| " << what << " | " << size << " | " << value << " | " << unit << " |\n";
+}
+
+void measureUpstreams(std::size_t count)
+{
+    bare_host host;
+    const std::size_t before = heapBytes();
+    for (std::uint64_t id = 1; id <= count; ++id) {
+        host.core.onChange(upstreamChange(id));
+    }
+    host.core.directory().candidates("service-1", 0);
+    print("upstream known", count, double(heapBytes() - before) / double(count), "bytes each");
+    print("change of one upstream, lists built anew", count,
+          microseconds(20,
+                       [&] {
+                           host.core.onChange(upstreamChange(5));
+                           host.core.directory().candidates("service-1", 0);
+                       }),
+          "us");
+    print("report made", count, microseconds(50, [&] { (void)host.core.makeReport(); }), "us");
+}
+
+void measureRoutes(std::size_t count)
+{
+    bare_host host;
+    const route_config config = configWith(count);
+    record_change change;
+    change.content = config;
+    const std::size_t before = heapBytes();
+    host.core.onChange(change);
+    print("route known", count, double(heapBytes() - before) / double(count), "bytes each");
+    route_config next = config;
+    ++next.version;
+    next.routes.back().timeout += milliseconds(1);
+    print("patch of one changed route made", count,
+          microseconds(10, [&] { (void)patchBetween(config, next); }), "us");
+    view_changes changes;
+    change.content = patchBetween(config, next);
+    changes.records.push_back(change);
+    print("patch of one changed route on the wire", count,
+          double(encodeEntryMessage(peer_key{}, changes).size()), "bytes");
+}
+
+void measureHosts(std::size_t count)
+{
+    bare_host host;
+    const std::size_t before = heapBytes();
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        record_change change;
+        change.kind = record_kind::host;
+        change.name = hostRecord(number).name;
+        change.content = hostRecord(number);
+        host.core.onChange(change);
+    }
+    print("host known", count, double(heapBytes() - before) / double(count), "bytes each");
+    const peer_roster &roster = host.core.roster();
+    print("roster looked through", count,
+          microseconds(20,
+                       [&] {
+                           host.clock.now += milliseconds(100);
+                           host.core.tick();
+                       }),
+          "us");
+    print("targets of a report", count, microseconds(20, [&] { (void)roster.reportTargets(1); }),
+          "us");
+    print("rank of this host", count,
+          microseconds(20, [&] { (void)roster.rankOf(1, host.clock.now); }), "us");
+}
+
+void measureReport(std::size_t rows)
+{
+    peer_report report;
+    report.sender = hostRecord(1);
+    for (std::size_t row = 0; row < rows; ++row) {
+        report.rows.push_back(load_row{static_cast<std::uint32_t>(row + 1), 1, 0, false});
+    }
+    const byte_buffer bytes = encodeEntryMessage(peer_key{}, report);
+    print("report on the wire", rows, double(bytes.size()), "bytes");
+    print("report written", rows,
+          microseconds(2000, [&] { (void)encodeEntryMessage(peer_key{}, report); }), "us");
+    print("report read", rows,
+          microseconds(2000, [&] { (void)decodeEntryMessage(peer_key{}, bytes); }), "us");
+}
+
+} // namespace
+
+int main()
+{
+    std::cout << "| what | size | value | unit |\n|---|---|---|---|\n";
+    for (const std::size_t count : {730U, 7300U, 73000U}) {
+        measureUpstreams(count);
+    }
+    for (const std::size_t count : {170U, 1700U, 17000U}) {
+        measureRoutes(count);
+    }
+    for (const std::size_t count : {100U, 1000U, 10000U}) {
+        measureHosts(count);
+    }
+    for (const std::size_t rows : {5U, 20U, 80U}) {
+        measureReport(rows);
+    }
+    return 0;
+}
--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -107,6 +107,7 @@
     void runPending(std::deque<pending_answer> &queue, monotonic_time now);
     void releaseHeld();
     void sweepFlows();
+    void sweepRoster();
     void judgeSilence(upstream_index upstream, const flow_id &flow, std::string_view what);
     milliseconds aimOf(const flow_id &flow) const;
     milliseconds expectedTime(const flow_id &flow) const;
@@ -131,6 +132,7 @@
     monotonic_time m_startedAt;
     monotonic_time m_nextSweep{};
     monotonic_time m_nextRelease{};
+    monotonic_time m_nextRosterSweep{};
     monotonic_time m_lastPacketAt{};
     monotonic_time m_ignoreSilenceUntil{};
     monotonic_time m_lastReportAt{};
--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/peer_roster.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "figstair/core/fleet_records.h"
@@ -84,6 +85,7 @@
 
     host_record m_self;
     std::map<std::string, peer> m_peers;
+    std::unordered_map<std::string, monotonic_time> m_zoneHeardAt;
     std::size_t m_localCount = 0; ///< peers of the own zone
     monotonic_time m_changedAt{};
 };
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -59,6 +59,9 @@
 /// says nothing of upstreams: answers went by while nobody counted, or another host saw them.
 constexpr milliseconds silenceGraceAfterFreeze{400};
 
+/// Hosts are looked through this often: their silence is measured in several of these.
+constexpr milliseconds rosterSweepInterval{100};
+
 /// After a host came or went, the platform sends the packets of open flows by way of other hosts:
 /// two readiness checks, half a second apart, pass until all of them follow.
 constexpr milliseconds rotationSettleTime{1600};
@@ -556,11 +559,20 @@
         m_nextSweep = now + sweepInterval;
         sweepFlows();
         m_directory.advance(now);
-        m_roster.advance(now);
-        for (const auto &[name, peer] : m_roster.peers()) {
-            if (!m_roster.isAlive(peer, now) || now - peer.heardAt > reportValidity) {
-                m_loads.dropReport(name);
-            }
+        if (now >= m_nextRosterSweep) {
+            m_nextRosterSweep = now + rosterSweepInterval;
+            sweepRoster();
+        }
+    }
+}
+
+void entry_core::sweepRoster()
+{
+    const monotonic_time now = m_clock.monotonic();
+    m_roster.advance(now);
+    for (const auto &[name, peer] : m_roster.peers()) {
+        if (!m_roster.isAlive(peer, now) || now - peer.heardAt > reportValidity) {
+            m_loads.dropReport(name);
         }
     }
 }
--- a/src/core/peer_roster.cpp
+++ b/src/core/peer_roster.cpp
@@ -116,6 +116,7 @@
     known.wasAlive = true;
     known.entry = host;
     known.heardAt = now;
+    m_zoneHeardAt[host.zone] = now;
     known.isLeaving = isLeaving;
     if (isNew) {
         countLocal();
@@ -221,17 +222,9 @@
     if (zone == m_self.zone) {
         return true;
     }
-    bool wasHeard = false;
-    for (const auto &[name, other] : m_peers) {
-        if (other.entry.zone != zone || other.heardAt == monotonic_time{}) {
-            continue;
-        }
-        wasHeard = true;
-        if (now - other.heardAt <= (isLargeFleet() ? zoneSilence : leastSilence)) {
-            return true;
-        }
-    }
-    return !wasHeard;
+    const auto heard = m_zoneHeardAt.find(zone);
+    return heard == m_zoneHeardAt.end()
+        || now - heard->second <= (isLargeFleet() ? zoneSilence : leastSilence);
 }
 
 const std::string &peer_roster::ownerOf(std::uint64_t key, const std::string &zone,
