Take only the word of hosts that the store answered for the age of a view

Ruled out: lost patches (hosts that are told of a newer revision ask and then read). Change: reports carry the time since the store itself answered; readers tell the zone of each answer.

--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -39,7 +39,7 @@
     bool onPassedOn(std::uint64_t after, std::uint64_t revision, milliseconds age,
                     milliseconds grace, monotonic_time now);
 
-    /// Another host states its view's revision and age.
+    /// Another host states its view's revision, and its ownAge().
     void onPeerView(std::uint64_t revision, milliseconds age, monotonic_time now);
 
     /// Something passed on could not be applied: the store has to be read whole.
@@ -55,6 +55,10 @@
     bool isLoaded() const { return m_isLoaded; }
     milliseconds age(monotonic_time now) const;
 
+    /// Time since the store itself last answered this host. Only this is told to others: word passed on
+    /// from host to host would grow younger by each message's way.
+    milliseconds ownAge(monotonic_time now) const;
+
     /// When nextCall() or takePull() may have something new.
     monotonic_time nextDeadline(monotonic_time now, unsigned rank) const;
 
@@ -72,6 +76,7 @@
     bool m_isCalling = false;
     monotonic_time m_calledAt{};
     monotonic_time m_confirmedAt{};
+    monotonic_time m_answeredAt{};
     monotonic_time m_notBefore{};
     monotonic_time m_graceUntil{};
     monotonic_time m_behindSince{};
--- a/include/figstair/wire/entry_message.h
+++ b/include/figstair/wire/entry_message.h
@@ -20,7 +20,7 @@
     std::uint64_t sequence = 0;
     bool isLeaving = false;
     std::uint64_t viewRevision = 0; ///< revision of the store that the sender's view has reached
-    milliseconds viewAge{0}; ///< time since the store confirmed that view
+    milliseconds viewAge{0}; ///< time since the store itself answered the sender
     std::uint64_t configVersion = 0;
     std::vector<load_row> rows;
 };
@@ -30,7 +30,7 @@
 {
     std::uint64_t after = 0; ///< the changes follow this revision without a gap
     std::uint64_t revision = 0; ///< the last one of them
-    milliseconds age{0}; ///< time since the store gave its word
+    milliseconds age{0}; ///< time since the store itself answered the sender
     milliseconds grace{0}; ///< for how long missing entries may still come back
     std::vector<record_change> records;
 };
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -50,6 +50,11 @@
     return now - m_confirmedAt;
 }
 
+milliseconds view_feed::ownAge(monotonic_time now) const
+{
+    return now - m_answeredAt;
+}
+
 milliseconds view_feed::staleAfter(unsigned rank) const
 {
     return staleAge + std::min(mostRankDelay, rankStep * static_cast<int>(rank));
@@ -114,6 +119,7 @@
     onAnswered(now);
     m_needsListing = false;
     m_isLoaded = true;
+    m_answeredAt = m_calledAt;
     confirm(revision, m_calledAt);
 }
 
@@ -130,7 +136,8 @@
     if (revision > m_revision) {
         m_notBefore = now + batchPause;
     }
-    confirm(revision, std::max(m_calledAt, now - answerAge));
+    m_answeredAt = std::max(m_calledAt, now - answerAge);
+    confirm(revision, m_answeredAt);
 }
 
 void view_feed::onFailed(bool isHistoryGone, monotonic_time now)
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -388,7 +388,7 @@
         }
         peer_report report = m_core->makeReport();
         report.viewRevision = m_store->feed().revision();
-        report.viewAge = m_store->feed().age(m_clock.monotonic());
+        report.viewAge = m_store->feed().ownAge(m_clock.monotonic());
         const byte_buffer bytes = encodeEntryMessage(*m_key, report);
         const peer_roster &roster = m_core->roster();
         const std::vector<endpoint> targets =
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -238,11 +238,9 @@
     if (events.revision > after) {
         keep(after, events.revision, relayed);
     }
-    if (events.revision > after || rank() > 0) {
-        // Also without changes: hosts that would read by themselves learn that the view holds.
-        const milliseconds grace = std::max(milliseconds::zero(), m_feed.graceUntil() - now);
-        m_environment.relay(view_changes{after, events.revision, m_feed.age(now), grace, relayed});
-    }
+    // Also without changes: the others rely on the word of those that read.
+    const milliseconds grace = std::max(milliseconds::zero(), m_feed.graceUntil() - now);
+    m_environment.relay(view_changes{after, events.revision, m_feed.ownAge(now), grace, relayed});
     tick();
 }
 
@@ -266,7 +264,7 @@
         return;
     }
     const monotonic_time now = m_clock.monotonic();
-    view_changes changes{pull.after, pull.after, m_feed.age(now), milliseconds::zero(), {}};
+    view_changes changes{pull.after, pull.after, m_feed.ownAge(now), milliseconds::zero(), {}};
     for (auto change = first; change != m_history.end(); ++change) {
         if (change->after > changes.revision) {
             break;
--- a/tests/core/view_feed_test.cpp
+++ b/tests/core/view_feed_test.cpp
@@ -1,5 +1,7 @@
 #include "figstair/core/view_feed.h"
 
+#include <deque>
+
 #include <doctest/doctest.h>
 
 using namespace figstair;
@@ -118,3 +120,28 @@
     CHECK(feed.onPassedOn(50, 52, milliseconds(5), milliseconds(1500), ms(100)));
     CHECK(feed.graceUntil() == ms(1600));
 }
+
+TEST_CASE(
+    "view_feed: nobody reads, reports take their time: hosts do not keep each other's views young")
+{
+    // Messages between weak hosts wait 100 ms; each host hears one every 20 ms.
+    constexpr std::int64_t way = 100;
+    view_feed first(1);
+    view_feed second(2);
+    for (view_feed *feed : {&first, &second}) {
+        feed->nextCall(ms(0), 1);
+        feed->onListed(50, ms(0));
+    }
+    std::int64_t now = 0;
+    std::deque<std::pair<milliseconds, milliseconds>> sent;
+    while (first.nextCall(ms(now), 1).what == feed_call::kind::none && now < 10000) {
+        sent.emplace_back(first.ownAge(ms(now)), second.ownAge(ms(now)));
+        if (sent.size() > way / 20) {
+            second.onPeerView(50, sent.front().first, ms(now));
+            first.onPeerView(50, sent.front().second, ms(now));
+            sent.pop_front();
+        }
+        now += 20;
+    }
+    CHECK(now <= 2000);
+}
