--- a/bench/entry_bench.cpp
+++ b/bench/entry_bench.cpp
@@ -4,6 +4,7 @@
 
 #include <benchmark/benchmark.h>
 
+#include "entry/entry_doubles.h"
 #include "figstair/core/entry_core.h"
 #include "platform/packet_format.h"
 
@@ -15,17 +16,8 @@
 constexpr std::uint16_t routePort = 443;
 constexpr std::uint32_t callerAddress = 0x64400001;
 
-class still_clock : public clock_source
-{
-public:
-    monotonic_time monotonic() const override { return now; }
-    wall_time wall() const override { return wall_time(now.time_since_epoch()); }
-
-    monotonic_time now{milliseconds(1000000)};
-};
-
 /// Encodes what is forwarded as the platform's adapter does, and drops it.
-class encoding_output : public entry_output
+class encoding_output : public silent_output
 {
 public:
     void forward(byte_view packet, const known_upstream &upstream) override
@@ -33,11 +25,6 @@
         platform::encodeForUpstream(packet, upstream, m_buffer);
         benchmark::DoNotOptimize(m_buffer.data());
     }
-    void reset(const flow_id &, std::uint32_t) override { }
-    void sendToPeer(const endpoint &, byte_view) override { }
-    void logEvent(std::string_view, event_fields) override { }
-    void count(entry_counter, std::uint64_t) override { }
-    void observe(entry_distribution, milliseconds) override { }
 
 private:
     byte_buffer m_buffer;
@@ -89,7 +76,7 @@
         return result;
     }
 
-    still_clock clock;
+    manual_clock clock;
     encoding_output output;
     entry_core core{settings(), clock, 1, output};
 };
--- a/bench/entry_footprint.cpp
+++ b/bench/entry_footprint.cpp
@@ -5,6 +5,7 @@
 
 #include <malloc.h>
 
+#include "entry/entry_doubles.h"
 #include "figstair/core/entry_core.h"
 #include "figstair/wire/entry_message.h"
 
@@ -12,26 +13,6 @@
 
 namespace {
 
-class still_clock : public clock_source
-{
-public:
-    monotonic_time monotonic() const override { return now; }
-    wall_time wall() const override { return wall_time(now.time_since_epoch()); }
-
-    monotonic_time now{milliseconds(1000000)};
-};
-
-class no_output : public entry_output
-{
-public:
-    void forward(byte_view, const known_upstream &) override { }
-    void reset(const flow_id &, std::uint32_t) override { }
-    void sendToPeer(const endpoint &, byte_view) override { }
-    void logEvent(std::string_view, event_fields) override { }
-    void count(entry_counter, std::uint64_t) override { }
-    void observe(entry_distribution, milliseconds) override { }
-};
-
 constexpr unsigned zones = 23;
 
 std::string zoneName(std::uint64_t number)
@@ -87,8 +68,8 @@
         return result;
     }
 
-    still_clock clock;
-    no_output output;
+    manual_clock clock;
+    silent_output output;
     entry_core core{settings(), clock, 1, output};
 };
 
--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -55,8 +55,8 @@
     bool isLoaded() const { return m_isLoaded; }
     milliseconds age(monotonic_time now) const;
 
-    /// Time since the store itself last answered this host. Only this is told to others: word passed on
-    /// from host to host would grow younger by each message's way.
+    /// Time since the store itself last answered this host. Only this is told to others: word
+    /// passed on from host to host would grow younger by each message's way.
     milliseconds ownAge(monotonic_time now) const;
 
     /// When nextCall() or takePull() may have something new.
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include "entry/entry_doubles.h"
+
 using namespace figstair;
 
 namespace {
@@ -13,15 +15,6 @@
 constexpr std::uint16_t routePort = 443;
 constexpr std::uint32_t callerAddress = 0x64400007;
 
-class manual_clock : public clock_source
-{
-public:
-    monotonic_time monotonic() const override { return now; }
-    wall_time wall() const override { return wall_time(now.time_since_epoch()); }
-
-    monotonic_time now{milliseconds(100000)};
-};
-
 class recording_output : public entry_output
 {
 public:
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -2,19 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include "entry/entry_doubles.h"
+
 using namespace figstair;
 
 namespace {
 
-class manual_clock : public clock_source
-{
-public:
-    monotonic_time monotonic() const override { return now; }
-    wall_time wall() const override { return wall_time(now.time_since_epoch()); }
-
-    monotonic_time now{milliseconds(100000)};
-};
-
 /// A store whose answers the test gives.
 class scripted_store : public fleet_store
 {
@@ -89,17 +82,6 @@
     std::vector<std::string> events;
 };
 
-class silent_output : public entry_output
-{
-public:
-    void forward(byte_view, const known_upstream &) override { }
-    void reset(const flow_id &, std::uint32_t) override { }
-    void sendToPeer(const endpoint &, byte_view) override { }
-    void logEvent(std::string_view, event_fields) override { }
-    void count(entry_counter, std::uint64_t) override { }
-    void observe(entry_distribution, milliseconds) override { }
-};
-
 record_change upstreamChange(std::uint64_t id, std::uint64_t revision, bool isRemoved = false)
 {
     record_change change;
