--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -40,7 +40,7 @@
 
     /// Starts calls that are due. To be called at nextDeadline() or earlier.
     void tick();
-    monotonic_time nextDeadline() const;
+    monotonic_time nextDeadline();
 
     void onPassedOn(const view_changes &changes);
     void onPull(const view_pull &pull);
@@ -65,7 +65,7 @@
         std::vector<record_change> records;
     };
 
-    unsigned rank() const;
+    unsigned rank();
     void startCall(const feed_call &call);
     void onListed(store_reply<store_records> reply);
     void onWatched(std::uint64_t after, store_reply<store_records> reply);
@@ -93,6 +93,8 @@
     view_feed m_feed;
     std::mt19937_64 m_random;
     std::deque<kept_change> m_history;
+    unsigned m_rank = 0; ///< as of m_rankedAt
+    monotonic_time m_rankedAt{};
     endpoint m_aheadPeer; ///< a host that stated a newer view
     monotonic_time m_loadedAt{};
     std::uint64_t m_lease = 0;
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -14,6 +14,9 @@
 /// others. When all hosts start, each would otherwise wait for each of the others' announcements.
 constexpr milliseconds settleTime{1200};
 
+/// How often this host's rank is worked out from all hosts; it is asked for with each packet.
+constexpr milliseconds rankInterval{50};
+
 /// Changes kept for hosts that missed them.
 constexpr std::size_t mostKeptChanges = 64;
 
@@ -44,11 +47,14 @@
 {
 }
 
-unsigned store_session::rank() const
+unsigned store_session::rank()
 {
     const monotonic_time now = m_clock.monotonic();
-    const unsigned rank = m_core.roster().rankOf(readerKey, now);
-    return now - m_loadedAt < settleTime ? std::max(rank, 1U) : rank;
+    if (now - m_rankedAt >= rankInterval) {
+        m_rankedAt = now;
+        m_rank = m_core.roster().rankOf(readerKey, now);
+    }
+    return now - m_loadedAt < settleTime ? std::max(m_rank, 1U) : m_rank;
 }
 
 void store_session::tick()
@@ -67,7 +73,7 @@
     m_environment.count(entry_counter::storeCalls, m_store->takeCallCount());
 }
 
-monotonic_time store_session::nextDeadline() const
+monotonic_time store_session::nextDeadline()
 {
     const monotonic_time next = m_feed.nextDeadline(m_clock.monotonic(), rank());
     return m_isAnnouncing || m_isWithdrawn || !m_feed.isLoaded()
