--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -141,7 +141,7 @@
     bool m_isReportUrgent = false;
 };
 
-/// "caller=10.0.0.1:80 ..." style text of a flow: caller and route address.
+/// Text that names a flow in logs: caller and route address, as in 10.0.0.1:80>198.18.0.1:443.
 std::string toText(const flow_id &flow);
 
 } // namespace figstair
--- a/src/core/peer_roster.cpp
+++ b/src/core/peer_roster.cpp
@@ -57,9 +57,8 @@
     if (const auto *entry = std::get_if<host_record>(&change.content)) {
         peer &known = m_peers[entry->name];
         known.isListed = true;
-        if (entry->incarnation >= known.entry.incarnation) {
-            known.entry = *entry;
-        }
+        // The store orders announcements, whatever the clock of the host said.
+        known.entry = *entry;
         countLocal();
         return;
     }
@@ -106,8 +105,8 @@
     }
     const auto [slot, isNew] = m_peers.try_emplace(host.name);
     peer &known = slot->second;
-    if (host.incarnation < known.entry.incarnation) {
-        return false;
+    if (host.incarnation < known.entry.incarnation && isAlive(known, now)) {
+        return false; // late, from an earlier life
     }
     if (!known.wasAlive || known.entry.incarnation != host.incarnation
         || known.isLeaving != isLeaving) {
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -78,8 +78,8 @@
         , m_peerBuffer(peerBufferBytes)
         , m_settingsTime(settingsChangeTime())
     {
-        // Unix milliseconds grow from life to life; a clock that is set back in between only delays
-        // others' belief in the new life until the old one is forgotten.
+        // Unix milliseconds grow from life to life; after a clock was set back in between, others
+        // hear the new life once the old one counts as silent.
         m_settings.core.self.incarnation =
             static_cast<std::uint64_t>(m_clock.wall().time_since_epoch().count());
         m_core = std::make_unique<entry_core>(m_settings.core, m_clock, randomNumber(), *this);
