Drop state and questions of the packet path that nothing reads

When an id's life was first seen was kept and never read; the feed's and the directory's questions isReachable() and generation() were never asked. Behaviour stays.

--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -28,7 +28,6 @@
     bool isTagShared = false; ///< another known id has the same tag: new flows would be ambiguous
     monotonic_time coldUntil{};
     monotonic_time unlistedAt{};
-    monotonic_time bornSeenAt{}; ///< when this life of the id was seen first
     bool isLapsing = false; ///< its entry is gone, but may come back
 };
 
@@ -72,9 +71,6 @@
     const std::string &zoneName(std::uint16_t zone) const { return m_zoneNames[zone]; }
     bool isEvacuated(std::uint16_t zone) const;
 
-    /// Counts up whenever the set of candidates may have changed.
-    std::uint64_t generation() const { return m_generation; }
-
 private:
     struct evacuation
     {
@@ -102,7 +98,7 @@
     monotonic_time m_graceUntil{};
     bool m_hasLapsing = false;
     monotonic_time m_nextSweep{};
-    std::uint64_t m_generation = 1;
+    std::uint64_t m_generation = 1; ///< counts up whenever the candidates may have changed
     std::uint64_t m_listGeneration = 0;
 };
 
--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -62,8 +62,6 @@
     /// When nextCall() or takePull() may have something new.
     monotonic_time nextDeadline(monotonic_time now, unsigned rank) const;
 
-    bool isReachable() const { return m_failures == 0; }
-
 private:
     milliseconds staleAfter(unsigned rank) const;
     void confirm(std::uint64_t revision, monotonic_time asOf);
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -113,9 +113,6 @@
         unlist(upstream, now);
         return;
     }
-    if (upstream.entry.bornMs != entry->bornMs) {
-        upstream.bornSeenAt = now;
-    }
     upstream.entry = *entry;
     upstream.zone = zoneNumber(entry->zone);
     upstream.isListed = true;
