--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -1,23 +1,13 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "figstair/core/entry_output.h"
-#include "figstair/core/entry_settings.h"
-#include "figstair/core/flow_placer.h"
-#include "figstair/core/flow_table.h"
-#include "figstair/core/held_flows.h"
-#include "figstair/core/load_board.h"
-#include "figstair/core/peer_roster.h"
-#include "figstair/core/report_exchange.h"
-#include "figstair/core/route_table.h"
-#include "figstair/core/service_times.h"
-#include "figstair/core/upstream_directory.h"
-#include "figstair/core/upstream_health.h"
+#include "figstair/core/flow_context.h"
+#include "figstair/core/flow_opener.h"
+#include "figstair/core/silence_watch.h"
 
 namespace figstair {
 
@@ -108,40 +98,13 @@
     void updateSettings(const entry_settings &settings);
 
 private:
-    struct pending_answer
-    {
-        monotonic_time deadline{};
-        flow_id flow;
-        monotonic_time sentAt{};
-        std::vector<std::uint8_t> openingPacket; ///< for a retry at another upstream
-        bool isRechecked = false; ///< already waited for other hosts' reports
-    };
-
     void acceptConfig(const record_change &change);
-    void onOpeningPacket(const flow_packet &packet, byte_view bytes);
     void onSubsequentPacket(const flow_packet &packet, byte_view bytes);
     void adoptFlow(const flow_packet &packet, flow_record &record, upstream_index upstream);
-    placement_outcome tryPlace(const flow_id &flow, flow_record &record, const route &route,
-                               byte_view bytes);
-    void hold(const flow_id &flow, flow_record &record, const route &route, byte_view bytes);
-    void enqueueHeld(held_flow item);
-    void refuse(const flow_id &flow, const char *reason);
-    void forwardOpening(const flow_id &flow, flow_record &record, byte_view bytes,
-                        const placement_result &choice);
     void recordAnswer(const flow_packet &packet, flow_record &record);
     void recordRequest(const flow_packet &packet, flow_record &record);
-    void stopAwaitingAnswer(flow_record &record);
-    void retryUnanswered(pending_answer pending);
-    void processDueAnswers(std::deque<pending_answer> &queue, monotonic_time now);
-    void retryHeldFlows();
     void sweepFlows();
     void sweepRoster();
-    void recordSilence(upstream_index upstream, const flow_id &flow, std::string_view evidence);
-    milliseconds latencyTargetOf(const flow_id &flow) const;
-    milliseconds expectedTime(const flow_id &flow) const;
-    bool isRotationStable() const;
-    unsigned coldFlowsPerSecond(const std::string &service) const;
-    flow_record &insertFlow(const flow_id &flow);
 
     entry_settings m_settings;
     const clock_source &m_clock;
@@ -152,23 +115,16 @@
     upstream_health m_health;
     peer_roster m_roster;
     report_exchange m_reports;
-    flow_placer m_placer;
     flow_table m_flows;
-    held_flows m_heldFlows;
     service_times m_serviceTimes;
-    std::deque<pending_answer> m_pendingAnswers;
-    std::deque<pending_answer> m_rechecks;
-    monotonic_time m_startedAt;
+    flow_context m_context; ///< refers to the members above
+    silence_watch m_silence;
+    flow_opener m_opener;
     monotonic_time m_nextSweep{};
-    monotonic_time m_nextHeldRetry{};
     monotonic_time m_nextRosterSweep{};
     monotonic_time m_lastPacketAt{};
-    monotonic_time m_ignoreSilenceUntil{};
     monotonic_time m_resumedAt{};
     bool m_isResuming = false;
 };
 
-/// Formats a flow for logs as caller and route address, as in 10.0.0.1:80>198.18.0.1:443.
-std::string toText(const flow_id &flow);
-
 } // namespace figstair
--- a/include/figstair/core/entry_output.h
+++ b/include/figstair/core/entry_output.h
@@ -23,9 +23,10 @@
     flowsRepeated, ///< unanswered SYNs sent to a second upstream
     flowsAdopted, ///< flows first seen at this host by a packet with a known tag, not by their SYN
     flowsHeld,
-    flowsHeldTooLong, ///< held flows dropped because no upstream had room in time
-    flowsReset, ///< refused for lack of a route or upstream, or ended for lack of a route
-    flowsDropped, ///< because too many were held
+    flowsHeldTooLong, ///< held flows for which no upstream had room within their latency target
+    flowsReset, ///< refused or ended for lack of a route
+    flowsRefused, ///< refused because upstreams were saturated, or there was none
+    flowsDropped, ///< as flowsRefused, but without a reset, since an upstream might open them
     trialsSent,
     coldFlowsSent,
     ejections,
--- a/include/figstair/core/fair_queue.h
+++ b/include/figstair/core/fair_queue.h
@@ -20,6 +20,9 @@
     /// caller has more items than @p caller would have.
     std::optional<std::uint64_t> push(std::uint64_t caller, std::uint64_t item);
 
+    /// The item that pop() would return, without removing it.
+    std::optional<std::uint64_t> front() const;
+
     /// Removes and returns the oldest item of the next caller; nothing when the queue is empty.
     std::optional<std::uint64_t> pop();
 
--- /dev/null
+++ b/include/figstair/core/flow_context.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "figstair/core/entry_output.h"
+#include "figstair/core/entry_settings.h"
+#include "figstair/core/flow_table.h"
+#include "figstair/core/load_board.h"
+#include "figstair/core/peer_roster.h"
+#include "figstair/core/report_exchange.h"
+#include "figstair/core/route_table.h"
+#include "figstair/core/service_times.h"
+#include "figstair/core/upstream_directory.h"
+#include "figstair/core/upstream_health.h"
+
+namespace figstair {
+
+/// State that the parts of the packet path share. entry_core owns it and outlives the parts.
+struct flow_context
+{
+    const entry_settings &settings;
+    const clock_source &clock;
+    entry_output &output;
+    route_table &routes;
+    upstream_directory &directory;
+    load_board &loads;
+    upstream_health &health;
+    peer_roster &roster;
+    report_exchange &reports;
+    flow_table &flows;
+    service_times &serviceTimes;
+    monotonic_time startedAt{}; ///< of this host
+
+    std::uint64_t configVersion() const { return routes.config().version; }
+
+    /// Latency target of the route of @p flow, or a default.
+    milliseconds latencyTargetOf(const flow_id &flow) const;
+
+    /// Expected time until the first answer on the route of @p flow at an upstream with a free
+    /// slot.
+    milliseconds expectedTime(const flow_id &flow) const;
+
+    /// Returns the record of @p flow, inserting one if there is none.
+    flow_record &insertFlow(const flow_id &flow) const;
+
+    /// No longer counts the flow's request as open at its upstream.
+    void stopAwaitingAnswer(flow_record &record) const;
+
+    /// Whether the set of hosts to which the platform's routers send packets has been the same long
+    /// enough for all packets of a flow to come to the same host.
+    bool isRotationStable() const;
+};
+
+} // namespace figstair
--- a/include/figstair/core/flow_packet.h
+++ b/include/figstair/core/flow_packet.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace figstair {
 
@@ -24,6 +25,9 @@
 /// 64-bit hash of all fields; the same on every host.
 std::uint64_t hashOf(const flow_id &flow);
 
+/// Formats a flow for logs as caller and route address, as in 10.0.0.1:80>198.18.0.1:443.
+std::string toText(const flow_id &flow);
+
 struct flow_id_hash
 {
     std::size_t operator()(const flow_id &flow) const { return hashOf(flow); }
--- a/include/figstair/core/flow_placer.h
+++ b/include/figstair/core/flow_placer.h
@@ -7,6 +7,7 @@
 
 #include "figstair/core/load_board.h"
 #include "figstair/core/peer_roster.h"
+#include "figstair/core/slot_shares.h"
 #include "figstair/core/upstream_directory.h"
 #include "figstair/core/upstream_health.h"
 
@@ -21,6 +22,12 @@
     /// The upstream that did not answer this flow. When set, the flow is not used as a trial.
     upstream_index excluded = noUpstream;
     milliseconds expectedTime{60}; ///< of a request at an upstream with a free slot
+    /// Slots of the service that are this host's; null: none are divided, all upstreams are judged
+    /// by reports.
+    const slot_share *share = nullptr;
+    double ownUtilization = 0; ///< open requests of this host per slot of its share, recent mean
+    /// Limit of open requests per slot at upstreams outside the share.
+    double otherShareLimit = 1.0;
 };
 
 enum class placement_outcome : std::uint8_t {
@@ -66,10 +73,12 @@
         upstream_index upstream = noUpstream;
         bool isLocal = false;
         bool isZoneReachable = true;
+        double homeSlots = 0;
     };
 
     void collectCandidates(const placement_request &request, monotonic_time now);
-    double expectedRequestsPerSlot(upstream_index upstream) const;
+    double expectedRequestsPerSlot(const placement_candidate &candidate,
+                                   const placement_request &request) const;
     void evaluate(const placement_candidate &candidate, const placement_request &request,
                   monotonic_time now);
     void evaluateCold(upstream_index upstream, const placement_request &request, bool isLocal,
--- a/include/figstair/core/flow_table.h
+++ b/include/figstair/core/flow_table.h
@@ -13,6 +13,8 @@
 
 enum class flow_phase : std::uint8_t {
     held, ///< the SYN is held until an upstream has room
+    /// The SYN was dropped, without telling the caller; its next retransmission is handled anew.
+    dropped,
     opening, ///< the SYN was forwarded; the caller has not acknowledged an answer
     open,
     closed ///< the caller sent a FIN or RST; kept for late packets
@@ -34,7 +36,11 @@
     std::uint32_t acknowledgedAtRequest = 0;
     std::uint32_t lastDataSequence = 0; ///< sequence number of the caller's latest new data
     bool hasSentData = false; ///< the caller sent data through this host
-    bool isOpeningRetransmitted = false; ///< the caller retransmitted its SYN
+    bool wasForwarded = false; ///< a SYN of the flow was sent to an upstream
+    /// Bit n is set if the SYN with retransmission count n came to this host.
+    std::uint8_t openingsSeen = 0;
+    /// When the caller sent its first SYN, by the schedule of retransmissions.
+    monotonic_time firstOpeningAt{};
     monotonic_time openingSentAt{}; ///< when the SYN was forwarded
     monotonic_time requestSentAt{}; ///< when the unanswered request was forwarded
     monotonic_time lastPacketAt{};
--- a/include/figstair/core/load_board.h
+++ b/include/figstair/core/load_board.h
@@ -55,6 +55,9 @@
 
     unsigned ownOpenRequests(upstream_index upstream) const;
 
+    /// This host's open requests at all upstreams of @p service.
+    unsigned ownOpenRequestsOf(const std::string &service) const;
+
     /// Open requests of all hosts together.
     unsigned openRequests(upstream_index upstream) const;
 
@@ -70,6 +73,7 @@
     struct record
     {
         unsigned ownRequests = 0;
+        std::string service; ///< that ownRequests count for; set with the first
         unsigned peerRequests = 0;
         double ownRatio = 1.0;
         monotonic_time ownRatioAt{};
@@ -83,9 +87,11 @@
     };
 
     record &at(upstream_index upstream);
+    void removeOwnRequests(record &item, unsigned count);
 
     const upstream_directory &m_directory;
     std::vector<record> m_records;
+    std::unordered_map<std::string, unsigned> m_ownRequestsByService;
     std::unordered_map<std::string, std::vector<reported>> m_reports;
 };
 
--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/peer_roster.h
@@ -21,6 +21,7 @@
         bool isListed = false; ///< the store lists it
         bool isLeaving = false;
         bool wasAlive = false; ///< at the last onHostMessage() or advance()
+        double newFlowsPerSecond = 0; ///< that it last reported; 0: not known
     };
 
     explicit peer_roster(host_record self);
@@ -39,6 +40,9 @@
     /// host, or from this host.
     bool onHostMessage(const host_record &host, bool isLeaving, monotonic_time now);
 
+    /// Notes how many new flows the known host @p name gets.
+    void setNewFlowsPerSecond(const std::string &name, double rate);
+
     /// Notes hosts that fell silent. Forgets hosts that the store does not list and that sent no
     /// message for a while.
     void advance(monotonic_time now);
@@ -84,7 +88,9 @@
     /// Interval between the reports of this host.
     milliseconds reportInterval() const;
 
-    /// When a host last joined, restarted, started to leave or fell silent.
+    /// When the set of hosts that get packets of this host's callers last changed: when a host of
+    /// this zone joined, restarted, started to leave or fell silent, or the first or last host of
+    /// another zone did.
     monotonic_time changedAt() const { return m_changedAt; }
 
     const host_record &self() const { return m_self; }
@@ -94,7 +100,7 @@
     std::vector<endpoint> addresses(bool areLocal) const;
     void updateSameZoneCount();
     bool isPresumedAlive(const peer &other, monotonic_time now) const;
-    void noteChange(monotonic_time now);
+    void noteChange(const std::string &zone, monotonic_time now);
     const std::string &findOwner(std::uint64_t key, const std::string &zone,
                                  monotonic_time now) const;
 
--- a/include/figstair/core/route_table.h
+++ b/include/figstair/core/route_table.h
@@ -34,12 +34,16 @@
     /// with this configuration. Empty when the weights sum to 0.
     const std::string &serviceFor(const route &route, const flow_id &flow) const;
 
+    /// The most urgent priority of the routes to @p service; 0 if there is none.
+    unsigned mostUrgentPriority(const std::string &service) const;
+
     /// Limits of @p service; defaults if the configuration has none for it.
     service_limits limitsOf(const std::string &service) const;
 
 private:
     route_config m_config;
     boost::unordered_flat_map<std::uint64_t, std::size_t> m_byAddress;
+    boost::unordered_flat_map<std::string, unsigned> m_mostUrgentPriorities; ///< by service
     bool m_isLoaded = false;
 };
 
--- a/include/figstair/core/service_times.h
+++ b/include/figstair/core/service_times.h
@@ -35,6 +35,9 @@
     /// Without a measurement it is a share of @p latencyTarget.
     milliseconds expectedAnswerTime(const flow_id &flow, milliseconds latencyTarget) const;
 
+    /// Mean time from a forwarded SYN to the caller's next packet; 0 without a measurement.
+    milliseconds handshakeTime() const;
+
     /// How long to wait for the answer to a SYN before it is sent to another upstream.
     milliseconds handshakeTimeout() const;
 
--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -80,6 +80,9 @@
     /// the directory changes.
     boost::span<const upstream_index> candidates(const std::string &service, std::uint16_t zone);
 
+    /// Changes whenever candidates() may have changed.
+    std::uint64_t generation() const { return m_generation; }
+
     /// Number of @p zone, assigned at first use.
     std::uint16_t zoneNumber(const std::string &zone);
     std::size_t zoneCount() const { return m_zoneNames.size(); }
--- a/include/figstair/wire/entry_message.h
+++ b/include/figstair/wire/entry_message.h
@@ -24,6 +24,7 @@
     milliseconds viewAge{0}; ///< time since the store last answered the sender directly
     std::uint64_t configVersion = 0;
     std::vector<load_row> rows;
+    unsigned newFlowsPerSecond = 0; ///< that callers open at the sender; 0: not known
 };
 
 /// Changes of store records that a host forwards to other hosts.
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -9,38 +9,6 @@
 namespace figstair {
 namespace {
 
-/// Longest time that a new flow is held when all upstreams are full. It is shorter than the
-/// callers' SYN retransmission timeout (200 ms), so that no retransmission arrives while the first
-/// SYN is still held.
-constexpr milliseconds maxHoldTime{150};
-
-/// Share of a route's latency target that a flow may spend held.
-constexpr double holdShareOfTarget = 0.4;
-
-/// Maximum number of held flows per priority: one second of arrivals at a host under the highest
-/// expected load.
-constexpr std::size_t heldFlowsPerPriority = 256;
-
-/// Number of held flows that one retry tries to place, and the interval between retries. A slot of
-/// an upstream becomes free every few milliseconds.
-constexpr std::size_t heldFlowsPerRetry = 8;
-constexpr milliseconds heldRetryInterval{5};
-
-/// Share of a route's latency target that a request may spend at an upstream, queueing included. It
-/// determines how many open requests per slot a new flow accepts, within the two limits below.
-constexpr double upstreamShareOfTarget = 0.5;
-constexpr double minQueueLimit = 1.25;
-constexpr double maxQueueLimit = 2.5;
-
-/// A flow whose SYN was retransmitted has missed its latency target or is about to. It gets this
-/// limit of open requests per slot, and a held one is served after the flows that can still meet
-/// their target: the offset is added to its route priority, which must be below the offset.
-constexpr double retransmittedQueueLimit = 1.5;
-constexpr unsigned retransmittedPriorityOffset = 1000;
-
-/// Latency target of a route that states none.
-constexpr milliseconds defaultLatencyTarget{250};
-
 /// A request of a flow that is idle for this many times the expected answer time is no longer
 /// counted as open at its upstream: the caller has given up, or the flow continues through another
 /// host.
@@ -61,13 +29,6 @@
 constexpr std::size_t flowsPerSweep = 256;
 constexpr milliseconds sweepInterval{40};
 
-/// Data repeated sooner than this is a packet duplicated by the network, not a retransmission.
-constexpr milliseconds minRetransmissionDelay{100};
-
-/// Missing answers are not held against upstreams for this long after a freeze of the process:
-/// answers may have passed unseen, or through another host.
-constexpr milliseconds silenceGraceAfterFreeze{400};
-
 /// After a freeze of at least this length SYNs are dropped until the view of the store is confirmed
 /// again, for at most maxResumeTime: callers have retransmitted their SYNs, the routers no longer
 /// send packets to this host, and upstreams may have restarted cold or been unlisted.
@@ -80,21 +41,9 @@
 /// Interval between checks of the other hosts. A host counts as silent only after several of these.
 constexpr milliseconds rosterSweepInterval{100};
 
-/// Time after which the rotation, the set of hosts to which the platform's routers send packets,
-/// counts as stable. It starts when this host starts or another one joins, restarts, starts to
-/// leave or falls silent. The routers then send the packets of open flows to other hosts. Two
-/// readiness checks, half a second apart, pass until all packets take the new route: 1 s, and a
-/// margin.
-constexpr milliseconds rotationSettleTime{1600};
-
 /// Load reports older than this are dropped: requests last only a fraction of it.
 constexpr milliseconds maxReportAge{1200};
 
-/// While packets are rerouted, a handshake without an answer may have been acknowledged through
-/// another host. The check is repeated after this delay, when the other hosts' next reports have
-/// arrived.
-constexpr milliseconds recheckDelay{115};
-
 /// An upstream that immediately answers with errors looks idle and fast, and would attract all
 /// flows. A short answer therefore counts as one that took this many times the expected time.
 constexpr double shortAnswerPenaltyRatio = 8.0;
@@ -107,19 +56,8 @@
     return std::to_string(value.count());
 }
 
-std::string addressText(std::uint32_t address, std::uint16_t port)
-{
-    return boost::asio::ip::make_address_v4(address).to_string() + ":" + std::to_string(port);
-}
-
 } // namespace
 
-std::string toText(const flow_id &flow)
-{
-    return addressText(flow.callerAddress, flow.callerPort) + ">"
-        + addressText(flow.routeAddress, flow.routePort);
-}
-
 entry_core::entry_core(const entry_settings &settings, const clock_source &clock,
                        std::uint64_t seed, entry_output &output)
     : m_settings(settings)
@@ -129,10 +67,11 @@
     , m_loads(m_directory)
     , m_roster(settings.self)
     , m_reports(m_directory, m_loads, m_health, m_roster)
-    , m_placer(m_directory, m_loads, m_health, m_roster, seed)
     , m_flows(settings.maxFlows)
-    , m_heldFlows(heldFlowsPerPriority)
-    , m_startedAt(clock.monotonic())
+    , m_context{m_settings, m_clock,  m_output,  m_routes, m_directory,    m_loads,
+                m_health,   m_roster, m_reports, m_flows,  m_serviceTimes, clock.monotonic()}
+    , m_silence(m_context)
+    , m_opener(m_context, m_silence, seed)
 {
 }
 
@@ -141,41 +80,6 @@
     m_settings = settings;
 }
 
-flow_record &entry_core::insertFlow(const flow_id &flow)
-{
-    return m_flows.insert(flow, [this](flow_record &evicted) { stopAwaitingAnswer(evicted); });
-}
-
-milliseconds entry_core::latencyTargetOf(const flow_id &flow) const
-{
-    const route *route = m_routes.find(flow);
-    return route != nullptr && route->latencyTarget.count() > 0 ? route->latencyTarget
-                                                                : defaultLatencyTarget;
-}
-
-milliseconds entry_core::expectedTime(const flow_id &flow) const
-{
-    return m_serviceTimes.expectedAnswerTime(flow, latencyTargetOf(flow));
-}
-
-void entry_core::stopAwaitingAnswer(flow_record &record)
-{
-    if (record.awaitsAnswer) {
-        record.awaitsAnswer = false;
-        m_loads.removeOpenRequest(record.upstream);
-    }
-}
-
-unsigned entry_core::coldFlowsPerSecond(const std::string &service) const
-{
-    const service_limits limits = m_routes.limitsOf(service);
-    const double ratePerSecond =
-        limits.coldRequestsPerSecond * m_settings.coldOvershoot + m_settings.coldSlack;
-    // Halved, so that two hosts that both consider themselves the owner stay within the rate
-    // together.
-    return static_cast<unsigned>(std::max(0.0, ratePerSecond / 2));
-}
-
 void entry_core::onPacket(const flow_packet &packet, byte_view bytes)
 {
     m_lastPacketAt = m_clock.monotonic();
@@ -185,162 +89,15 @@
         m_output.count(entry_counter::packetsReflected, 1);
         return;
     }
-    if (packet.isSyn) {
-        onOpeningPacket(packet, bytes);
-    } else {
+    if (!packet.isSyn) {
         onSubsequentPacket(packet, bytes);
-    }
-}
-
-void entry_core::onOpeningPacket(const flow_packet &packet, byte_view bytes)
-{
-    if (!m_routes.isLoaded()) {
+    } else if (!m_routes.isLoaded()) {
         m_output.count(entry_counter::packetsBeforeConfig, 1);
-        return;
-    }
-    if (isResuming()) {
+    } else if (isResuming()) {
         m_output.count(entry_counter::packetsStale, 1);
-        return;
-    }
-    const route *route = m_routes.find(packet.flow);
-    if (route == nullptr) {
-        m_output.count(entry_counter::packetsWithoutRoute, 1);
-        refuse(packet.flow, "no_route");
-        return;
-    }
-    const monotonic_time now = m_clock.monotonic();
-    flow_record *existing = m_flows.find(packet.flow);
-    if (existing != nullptr && existing->openingSequence != packet.sequence) {
-        stopAwaitingAnswer(*existing);
-        m_flows.erase(packet.flow);
-        existing = nullptr;
-    }
-    if (existing != nullptr && existing->phase != flow_phase::opening) {
-        return; // already held, or a late duplicate SYN of an established or closed flow
-    }
-    flow_record &record = insertFlow(packet.flow);
-    record.openingSequence = packet.sequence;
-    record.lastPacketAt = now;
-    if (existing != nullptr) {
-        // A SYN retransmission: the caller has received no SYN-ACK.
-        stopAwaitingAnswer(record);
-        record.previousUpstream = record.upstream;
-    }
-    // The acknowledgement number of a SYN holds its retransmission count.
-    record.isOpeningRetransmitted = packet.acknowledged != 0;
-    switch (tryPlace(packet.flow, record, *route, bytes)) {
-    case placement_outcome::placed:
-        break;
-    case placement_outcome::saturated:
-        hold(packet.flow, record, *route, bytes);
-        break;
-    case placement_outcome::noneUsable:
-        refuse(packet.flow, "no_upstream");
-        break;
-    }
-}
-
-placement_outcome entry_core::tryPlace(const flow_id &flow, flow_record &record, const route &route,
-                                       byte_view bytes)
-{
-    const std::string &service = m_routes.serviceFor(route, flow);
-    const double expectedMs = std::max(1.0, double(expectedTime(flow).count()));
-    const double queueLimitInTime =
-        std::clamp(double(latencyTargetOf(flow).count()) * upstreamShareOfTarget / expectedMs,
-                   minQueueLimit, maxQueueLimit);
-    // A flow that misses its target anyway must not delay one that can still meet it.
-    const double queueLimit =
-        record.isOpeningRetransmitted ? retransmittedQueueLimit : queueLimitInTime;
-    const placement_result choice =
-        m_placer.choose(placement_request{service, coldFlowsPerSecond(service), queueLimit,
-                                          record.previousUpstream, expectedTime(flow)},
-                        m_clock.monotonic());
-    if (choice.outcome == placement_outcome::placed) {
-        forwardOpening(flow, record, bytes, choice);
-    }
-    return choice.outcome;
-}
-
-void entry_core::hold(const flow_id &flow, flow_record &record, const route &route, byte_view bytes)
-{
-    const monotonic_time now = m_clock.monotonic();
-    const milliseconds holdTime =
-        std::min(maxHoldTime,
-                 milliseconds(static_cast<std::int64_t>(double(latencyTargetOf(flow).count())
-                                                        * holdShareOfTarget)));
-    record.phase = flow_phase::held;
-    m_output.count(entry_counter::flowsHeld, 1);
-    m_output.logEvent("flow_held",
-                      {{"flow", toText(flow)},
-                       {"route", route.name},
-                       {"copy", record.isOpeningRetransmitted ? "1" : "0"},
-                       {"held", std::to_string(m_heldFlows.size())},
-                       {"most_ms", toText(holdTime)}});
-    enqueueHeld(held_flow{flow,
-                          {bytes.begin(), bytes.end()},
-                          record.isOpeningRetransmitted
-                              ? retransmittedPriorityOffset + route.priority
-                              : route.priority,
-                          now,
-                          now + holdTime});
-}
-
-void entry_core::enqueueHeld(held_flow item)
-{
-    if (const auto dropped = m_heldFlows.push(std::move(item))) {
-        m_flows.erase(dropped->flow);
-        m_output.count(entry_counter::flowsDropped, 1);
-        m_output.logEvent("flow_dropped",
-                          {{"flow", toText(dropped->flow)},
-                           {"reason", "too_many_held"},
-                           {"held", std::to_string(m_heldFlows.size())}});
-    }
-}
-
-void entry_core::refuse(const flow_id &flow, const char *reason)
-{
-    m_flows.erase(flow);
-    m_output.count(entry_counter::flowsReset, 1);
-    m_output.logEvent(
-        "flow_refused",
-        {{"flow", toText(flow)}, {"reason", reason}, {"config", std::to_string(configVersion())}});
-    m_output.reset(flow, 0);
-}
-
-void entry_core::forwardOpening(const flow_id &flow, flow_record &record, byte_view bytes,
-                                const placement_result &choice)
-{
-    const monotonic_time now = m_clock.monotonic();
-    const known_upstream &upstream = m_directory.at(choice.upstream);
-    const unsigned open = m_loads.openRequests(choice.upstream);
-    record.phase = flow_phase::opening;
-    record.upstream = choice.upstream;
-    record.openingSentAt = now;
-    record.requestSentAt = now;
-    record.lastPacketAt = now;
-    record.awaitsAnswer = true;
-    record.requestsPerSlot =
-        std::max(1.0F, static_cast<float>(open + 1) / static_cast<float>(upstream.entry.slots));
-    m_loads.addOpenRequest(choice.upstream);
-    m_pendingAnswers.push_back(pending_answer{
-        now + m_serviceTimes.handshakeTimeout(), flow, now, {bytes.begin(), bytes.end()}});
-    m_output.count(entry_counter::flowsPlaced, 1);
-    if (choice.reason != "least_load") {
-        m_output.count(
-            choice.reason == "trial" ? entry_counter::trialsSent : entry_counter::coldFlowsSent, 1);
+    } else {
+        m_opener.onOpening(packet, bytes);
     }
-    m_output.logEvent("flow_placed",
-                      {{"flow", toText(flow)},
-                       {"upstream", toHex(upstream.entry.id)},
-                       {"zone", upstream.entry.zone},
-                       {"reason", std::string(choice.reason)},
-                       {"open", std::to_string(open)},
-                       {"own_open", std::to_string(m_loads.ownOpenRequests(choice.upstream))},
-                       {"copy", record.isOpeningRetransmitted ? "1" : "0"},
-                       {"repeat", record.wasRetried ? "1" : "0"},
-                       {"entry_revision", std::to_string(upstream.revision)},
-                       {"config", std::to_string(configVersion())}});
-    m_output.forward(bytes, upstream);
 }
 
 void entry_core::onSubsequentPacket(const flow_packet &packet, byte_view bytes)
@@ -350,7 +107,7 @@
         m_output.count(entry_counter::packetsWithoutRoute, 1);
         m_output.count(entry_counter::flowsReset, 1);
         if (flow_record *record = m_flows.find(packet.flow)) {
-            stopAwaitingAnswer(*record);
+            m_context.stopAwaitingAnswer(*record);
             m_flows.erase(packet.flow);
         }
         if (!packet.isRst) {
@@ -360,7 +117,8 @@
     }
     flow_record *record = m_flows.find(packet.flow);
     const upstream_index taggedUpstream = m_directory.findTag(packet.upstreamTag);
-    if (record == nullptr || record->phase == flow_phase::held) {
+    if (record == nullptr || record->phase == flow_phase::held
+        || record->phase == flow_phase::dropped) {
         if (taggedUpstream == noUpstream) {
             m_output.count(entry_counter::packetsWithUnknownTag, 1);
             m_output.logEvent("packet_dropped",
@@ -369,12 +127,12 @@
                                {"tag", toHex(packet.upstreamTag)}});
             return;
         }
-        record = &insertFlow(packet.flow);
+        record = &m_context.insertFlow(packet.flow);
         adoptFlow(packet, *record, taggedUpstream);
     } else if (record->phase == flow_phase::opening) {
         if (taggedUpstream != noUpstream && taggedUpstream != record->upstream) {
             // The first upstream answered after the retry; the caller's connection is with it.
-            stopAwaitingAnswer(*record);
+            m_context.stopAwaitingAnswer(*record);
             record->upstream = taggedUpstream;
             record->awaitsAnswer = true;
             m_loads.addOpenRequest(taggedUpstream);
@@ -393,13 +151,10 @@
     m_output.count(entry_counter::packetsForwarded, 1);
     m_output.forward(bytes, m_directory.at(record->upstream));
     if (packet.isFin || packet.isRst) {
-        stopAwaitingAnswer(*record);
+        m_context.stopAwaitingAnswer(*record);
         record->phase = flow_phase::closed;
     }
-    if (!m_heldFlows.isEmpty() && now >= m_nextHeldRetry) {
-        m_nextHeldRetry = now + heldRetryInterval;
-        retryHeldFlows();
-    }
+    m_opener.retryHeld();
 }
 
 void entry_core::adoptFlow(const flow_packet &packet, flow_record &record, upstream_index upstream)
@@ -431,7 +186,7 @@
     const milliseconds answerTime = now - record.requestSentAt;
     m_health.onAnswered(record.upstream, now);
     const answer_verdict verdict = m_serviceTimes.onAnswer(
-        packet.flow, answerTime, latencyTargetOf(packet.flow), record.requestsPerSlot,
+        packet.flow, answerTime, m_context.latencyTargetOf(packet.flow), record.requestsPerSlot,
         packet.acknowledged - record.acknowledgedAtRequest);
     m_loads.onServed(record.upstream, verdict.isShort ? shortAnswerPenaltyRatio : verdict.ratio,
                      now);
@@ -442,15 +197,15 @@
                           {{"flow", toText(packet.flow)},
                            {"upstream", toHex(m_directory.at(record.upstream).entry.id)},
                            {"ms", toText(answerTime)},
-                           {"expected_ms", toText(expectedTime(packet.flow))}});
+                           {"expected_ms", toText(m_context.expectedTime(packet.flow))}});
     } else if (verdict.ratio >= slowAnswerLogRatio) {
         m_output.logEvent("answer_slow",
                           {{"flow", toText(packet.flow)},
                            {"upstream", toHex(m_directory.at(record.upstream).entry.id)},
                            {"ms", toText(answerTime)},
-                           {"expected_ms", toText(expectedTime(packet.flow))}});
+                           {"expected_ms", toText(m_context.expectedTime(packet.flow))}});
     }
-    stopAwaitingAnswer(record);
+    m_context.stopAwaitingAnswer(record);
 }
 
 void entry_core::recordRequest(const flow_packet &packet, flow_record &record)
@@ -459,12 +214,10 @@
         return;
     }
     const monotonic_time now = m_clock.monotonic();
-    if (record.hasSentData && record.awaitsAnswer && packet.sequence == record.lastDataSequence
-        && now - record.requestSentAt >= minRetransmissionDelay && now >= m_ignoreSilenceUntil) {
-        recordSilence(record.upstream, packet.flow, "request_repeated");
-        return;
-    }
     if (record.hasSentData && packet.sequence == record.lastDataSequence) {
+        if (record.awaitsAnswer) {
+            m_silence.onRequestRepeated(packet.flow, record);
+        }
         return;
     }
     record.hasSentData = true;
@@ -477,124 +230,13 @@
     }
 }
 
-void entry_core::recordSilence(upstream_index upstream, const flow_id &flow,
-                               std::string_view evidence)
-{
-    const bool wasEjected = m_health.isEjected(upstream);
-    m_health.onTimeout(upstream, m_clock.monotonic());
-    const bool isEjected = m_health.isEjected(upstream);
-    m_output.logEvent("upstream_silent",
-                      {{"flow", toText(flow)},
-                       {"upstream", toHex(m_directory.at(upstream).entry.id)},
-                       {"evidence", std::string(evidence)},
-                       {"state", std::string(m_health.stateName(upstream))}});
-    if (isEjected && !wasEjected) {
-        m_output.count(entry_counter::ejections, 1);
-    }
-    m_reports.noteNews();
-}
-
-bool entry_core::isRotationStable() const
-{
-    const monotonic_time now = m_clock.monotonic();
-    return now - std::max(m_startedAt, m_roster.changedAt()) >= rotationSettleTime;
-}
-
-void entry_core::retryUnanswered(pending_answer pending)
-{
-    flow_record *record = m_flows.find(pending.flow);
-    const monotonic_time now = m_clock.monotonic();
-    if (record == nullptr || record->phase != flow_phase::opening
-        || record->openingSentAt != pending.sentAt) {
-        return;
-    }
-    if (now < m_ignoreSilenceUntil) {
-        return;
-    }
-    if (!isRotationStable()) {
-        if (m_health.lastAnswerTime(record->upstream) >= pending.sentAt) {
-            // The upstream answers, so the flow most likely continues through another host, which
-            // counts it from now on.
-            stopAwaitingAnswer(*record);
-            return;
-        }
-        if (!pending.isRechecked) {
-            pending.isRechecked = true;
-            pending.deadline = now + recheckDelay;
-            m_rechecks.push_back(std::move(pending));
-            return;
-        }
-    }
-    recordSilence(record->upstream, pending.flow, "opening_unanswered");
-    stopAwaitingAnswer(*record);
-    const route *route = m_routes.find(pending.flow);
-    if (record->wasRetried || route == nullptr) {
-        return; // later attempts are the caller's own retransmissions
-    }
-    record->wasRetried = true;
-    record->previousUpstream = record->upstream;
-    if (tryPlace(pending.flow, *record, *route, pending.openingPacket)
-        == placement_outcome::placed) {
-        m_output.count(entry_counter::flowsRepeated, 1);
-    }
-}
-
-void entry_core::processDueAnswers(std::deque<pending_answer> &queue, monotonic_time now)
-{
-    while (!queue.empty() && queue.front().deadline <= now) {
-        pending_answer pending = std::move(queue.front());
-        queue.pop_front();
-        retryUnanswered(std::move(pending));
-    }
-}
-
-void entry_core::retryHeldFlows()
-{
-    const monotonic_time now = m_clock.monotonic();
-    std::vector<held_flow> expired;
-    std::vector<held_flow> unplaced;
-    for (std::size_t step = 0; step < heldFlowsPerRetry; ++step) {
-        std::optional<held_flow> next = m_heldFlows.pop(now, expired);
-        if (!next) {
-            break;
-        }
-        const route *route = m_routes.find(next->flow);
-        flow_record *record = m_flows.find(next->flow);
-        if (route == nullptr) {
-            refuse(next->flow, "no_route");
-        } else if (record != nullptr && record->phase == flow_phase::held) {
-            const placement_outcome outcome = tryPlace(next->flow, *record, *route, next->packet);
-            if (outcome == placement_outcome::placed) {
-                m_output.observe(entry_distribution::held, now - next->heldAt);
-            } else if (outcome == placement_outcome::saturated) {
-                unplaced.push_back(std::move(*next));
-            } else {
-                refuse(next->flow, "no_upstream");
-            }
-        }
-    }
-    for (held_flow &item : unplaced) {
-        enqueueHeld(std::move(item));
-    }
-    for (const held_flow &item : expired) {
-        m_flows.erase(item.flow);
-        m_output.count(entry_counter::flowsHeldTooLong, 1);
-        m_output.logEvent("flow_dropped",
-                          {{"flow", toText(item.flow)},
-                           {"reason", "held_too_long"},
-                           {"held_ms", toText(now - item.heldAt)}});
-    }
-}
-
 void entry_core::tick()
 {
     const monotonic_time now = m_clock.monotonic();
-    processDueAnswers(m_pendingAnswers, now);
-    processDueAnswers(m_rechecks, now);
-    if (!m_heldFlows.isEmpty() && now >= m_nextHeldRetry) {
-        m_nextHeldRetry = now + heldRetryInterval;
-        retryHeldFlows();
+    for (const unanswered_opening &opening : m_silence.takeUnanswered()) {
+        m_opener.repeat(opening);
     }
+    m_opener.retryHeld();
     if (now >= m_nextSweep) {
         m_nextSweep = now + sweepInterval;
         sweepFlows();
@@ -620,24 +262,25 @@
 void entry_core::sweepFlows()
 {
     const monotonic_time now = m_clock.monotonic();
-    const bool isStable = isRotationStable();
+    const bool isStable = m_context.isRotationStable();
     const int factor = isStable ? idleTimeoutFactor : idleTimeoutFactorUnstable;
     const milliseconds minTimeout = isStable ? minIdleTimeout : minIdleTimeoutUnstable;
     m_flows.sweep(flowsPerSweep, [&](const flow_id &flow, flow_record &record) {
         const milliseconds idle = now - record.lastPacketAt;
         if (record.awaitsAnswer
-            && idle > std::clamp(expectedTime(flow) * factor, minTimeout, maxIdleTimeout)) {
-            stopAwaitingAnswer(record);
+            && idle
+                > std::clamp(m_context.expectedTime(flow) * factor, minTimeout, maxIdleTimeout)) {
+            m_context.stopAwaitingAnswer(record);
         }
-        if (record.phase == flow_phase::closed || record.phase == flow_phase::opening) {
+        if (record.phase != flow_phase::open && record.phase != flow_phase::held) {
             if (idle > closedFlowLifetime) {
-                stopAwaitingAnswer(record);
+                m_context.stopAwaitingAnswer(record);
                 return true;
             }
             return false;
         }
         if (idle > m_settings.flowLife) {
-            stopAwaitingAnswer(record);
+            m_context.stopAwaitingAnswer(record);
             return true;
         }
         return false;
@@ -646,24 +289,14 @@
 
 monotonic_time entry_core::nextDeadline() const
 {
-    monotonic_time next = m_nextSweep;
-    if (!m_pendingAnswers.empty()) {
-        next = std::min(next, m_pendingAnswers.front().deadline);
-    }
-    if (!m_rechecks.empty()) {
-        next = std::min(next, m_rechecks.front().deadline);
-    }
-    if (!m_heldFlows.isEmpty()) {
-        next = std::min(next, m_nextHeldRetry);
-    }
-    return next;
+    return std::min({m_nextSweep, m_silence.nextDeadline(), m_opener.nextDeadline()});
 }
 
 void entry_core::onFreeze(milliseconds gap)
 {
     m_output.count(entry_counter::freezes, 1);
     const monotonic_time now = m_clock.monotonic();
-    m_ignoreSilenceUntil = now + silenceGraceAfterFreeze;
+    m_silence.onFreeze();
     if (gap >= longFreezeThreshold) {
         m_isResuming = true;
         m_resumedAt = now;
@@ -791,7 +424,7 @@
     for (upstream_index index = 0; index < m_directory.size(); ++index) {
         result.ejected += m_health.isEjected(index) ? 1 : 0;
     }
-    result.flowsHeld = m_heldFlows.size();
+    result.flowsHeld = m_opener.heldCount();
     return result;
 }
 
@@ -800,6 +433,7 @@
     std::optional<outgoing_report> due = m_reports.takeDue(m_clock.monotonic());
     if (due) {
         due->report.configVersion = configVersion();
+        due->report.newFlowsPerSecond = m_opener.newFlowsPerSecond();
     }
     return due;
 }
--- a/src/core/entry_output.cpp
+++ b/src/core/entry_output.cpp
@@ -20,6 +20,7 @@
     "flows_held",
     "flows_held_too_long",
     "flows_reset",
+    "flows_refused",
     "flows_dropped",
     "trials_sent",
     "cold_flows_sent",
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -37,6 +37,14 @@
     return dropped;
 }
 
+std::optional<std::uint64_t> fair_queue::front() const
+{
+    if (m_callerRotation.empty()) {
+        return std::nullopt;
+    }
+    return m_callers.at(m_callerRotation.front()).items.front();
+}
+
 std::optional<std::uint64_t> fair_queue::pop()
 {
     if (m_callerRotation.empty()) {
--- /dev/null
+++ b/src/core/flow_opener.cpp
@@ -0,0 +1,509 @@
+#include "figstair/core/flow_opener.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "figstair/core/hex_text.h"
+
+namespace figstair {
+namespace {
+
+/// Maximum number of held flows of one rank of a service: one second of arrivals at a host under
+/// the highest expected load.
+constexpr std::size_t heldFlowsPerRank = 256;
+
+/// Number of held flows of a service that one retry tries to place, and the interval between
+/// retries. A slot of an upstream becomes free every few milliseconds.
+constexpr std::size_t heldFlowsPerRetry = 8;
+constexpr milliseconds heldRetryInterval{5};
+
+/// Interval at which it is checked whether extended flows can still be served.
+constexpr milliseconds reviewInterval{50};
+
+/// Time constant of the mean utilization of a share, and the smallest share for which it counts.
+constexpr double utilizationTimeMs = 500.0;
+constexpr double minSharedSlots = 0.25;
+
+/// When callers retransmit a SYN, after the first one. A caller that has not been answered this
+/// long after the next retransmission may have sent it to another host.
+constexpr std::array<milliseconds, 3> openingSchedule{milliseconds(0), milliseconds(200),
+                                                      milliseconds(600)};
+
+/// Longest difference between the times that two SYNs of a flow take from the caller to a host.
+constexpr milliseconds maxPathVariation{20};
+
+/// Bit in flow_record::openingsSeen, and age, of a SYN with retransmission count @p count.
+std::size_t scheduleIndex(std::uint32_t count)
+{
+    return std::min<std::size_t>(count, openingSchedule.size() - 1);
+}
+
+std::string toText(milliseconds value)
+{
+    return std::to_string(value.count());
+}
+
+} // namespace
+
+double flow_opener::queueLimitOf(place_in_queue place, const admission_request &request)
+{
+    switch (place) {
+    case place_in_queue::first:
+        return flow_admission::highestLimit(request);
+    case place_in_queue::last:
+        return flow_admission::leftoverLimit(request);
+    case place_in_queue::regular:
+        break;
+    }
+    return flow_admission::queueLimit(request);
+}
+
+flow_opener::flow_opener(const flow_context &context, silence_watch &silence, std::uint64_t seed)
+    : m_context(context)
+    , m_silence(silence)
+    , m_shares(context.directory, context.health, context.roster)
+    , m_placer(context.directory, context.loads, context.health, context.roster, seed)
+    , m_held(heldFlowsPerRank)
+    , m_random(seed)
+{
+}
+
+void flow_opener::onOpening(const flow_packet &packet, byte_view bytes)
+{
+    const route *route = m_context.routes.find(packet.flow);
+    if (route == nullptr) {
+        refuseWithoutRoute(packet.flow);
+        return;
+    }
+    const monotonic_time now = m_context.clock.monotonic();
+    flow_record *existing = m_context.flows.find(packet.flow);
+    if (existing != nullptr && existing->openingSequence != packet.sequence) {
+        m_context.stopAwaitingAnswer(*existing);
+        m_context.flows.erase(packet.flow);
+        existing = nullptr;
+    }
+    // The acknowledgement number of a SYN holds its retransmission count.
+    const std::size_t count = scheduleIndex(packet.acknowledged);
+    flow_record &record = existing != nullptr ? *existing : m_context.insertFlow(packet.flow);
+    if (existing == nullptr) {
+        record.openingSequence = packet.sequence;
+        record.firstOpeningAt = now - openingSchedule[count];
+        if (count == 0) {
+            const std::string &service = m_context.routes.serviceFor(*route, packet.flow);
+            m_shares.onArrival(now);
+            m_admission.onArrival(service, route->priority, now);
+            m_callerShares[service].onArrival(packet.flow.callerAddress, now);
+        }
+    }
+    record.openingsSeen |= static_cast<std::uint8_t>(1U << count);
+    record.lastPacketAt = now;
+    if (existing != nullptr && record.phase != flow_phase::opening
+        && record.phase != flow_phase::dropped) {
+        return; // already held, or a late duplicate SYN of an established or closed flow
+    }
+    if (record.wasForwarded) {
+        // The caller has received no SYN-ACK.
+        m_context.stopAwaitingAnswer(record);
+        record.previousUpstream = record.upstream;
+    }
+    admit(packet.flow, record, *route, bytes);
+}
+
+void flow_opener::repeat(const unanswered_opening &opening)
+{
+    flow_record *record = m_context.flows.find(opening.flow);
+    const route *route = m_context.routes.find(opening.flow);
+    if (record == nullptr || route == nullptr) {
+        return;
+    }
+    record->wasRetried = true;
+    record->previousUpstream = record->upstream;
+    // The flow was sent to an upstream that does not answer, and has waited for that.
+    if (tryPlace(opening.flow, *record, *route, opening.packet, place_in_queue::first)
+        == placement_outcome::placed) {
+        m_context.output.count(entry_counter::flowsRepeated, 1);
+    }
+}
+
+admission_request flow_opener::requestFor(const flow_id &flow, const flow_record &record,
+                                          const route &route, const std::string &service) const
+{
+    return admission_request{service,
+                             route.priority,
+                             route.priority <= m_context.routes.mostUrgentPriority(service),
+                             m_context.clock.monotonic() - record.firstOpeningAt,
+                             m_context.latencyTargetOf(flow),
+                             m_context.expectedTime(flow),
+                             m_context.serviceTimes.handshakeTime()};
+}
+
+placement_outcome flow_opener::tryPlace(const flow_id &flow, flow_record &record,
+                                        const route &route, byte_view bytes, place_in_queue place)
+{
+    const std::string &service = m_context.routes.serviceFor(route, flow);
+    const admission_request request = requestFor(flow, record, route, service);
+    const monotonic_time now = m_context.clock.monotonic();
+    const slot_share &share = m_shares.of(service, now);
+    const double freeLimit = flow_admission::freeLimit(request);
+    const double queueLimit = queueLimitOf(place, request);
+    // While the rotation changes, demand differs from host to host in ways that are not known yet.
+    const bool areSharesFair = m_context.isRotationStable();
+    const bool isShareFull = areSharesFair && share.slots > 0
+        && m_context.loads.ownOpenRequestsOf(service) + 1 > std::max(1.0, share.slots * queueLimit);
+    const placement_result choice = m_placer.choose(
+        placement_request{service, coldFlowsPerSecond(service),
+                          isShareFull ? std::min(freeLimit, queueLimit) : queueLimit,
+                          record.previousUpstream, request.answerTime, &share,
+                          updateUtilization(service, share),
+                          areSharesFair ? std::min(freeLimit, queueLimit) : queueLimit},
+        now);
+    if (choice.outcome == placement_outcome::placed) {
+        forward(flow, record, bytes, choice);
+    }
+    return choice.outcome;
+}
+
+void flow_opener::admit(const flow_id &flow, flow_record &record, const route &route,
+                        byte_view bytes)
+{
+    const std::string &service = m_context.routes.serviceFor(route, flow);
+    const admission_request request = requestFor(flow, record, route, service);
+    const held_rank rank{!flow_admission::canMeetTarget(request), route.priority};
+    const bool isOverShare = exceedsCallerShare(flow, request);
+    if (!m_held.hasRankOrBefore(service, rank)) {
+        const placement_outcome outcome =
+            tryPlace(flow, record, route, bytes,
+                     isOverShare ? place_in_queue::last : place_in_queue::regular);
+        if (outcome == placement_outcome::placed) {
+            return;
+        }
+        if (outcome == placement_outcome::noneUsable) {
+            refuseOrDrop(flow, record, "no_upstream", admission_verdict{});
+            return;
+        }
+    }
+    if (isOverShare) {
+        refuseOrDrop(flow, record, "caller_over_share", admission_verdict{});
+        return;
+    }
+    const service_backlog backlog = backlogFor(request, rank, flow.callerAddress);
+    const admission_verdict verdict =
+        m_admission.decide(request, backlog, m_context.clock.monotonic());
+    if (verdict.outcome == admission_outcome::refuse) {
+        refuseOrDrop(flow, record, "overloaded", verdict);
+    } else {
+        enqueue(flow, record, request, verdict, {bytes.begin(), bytes.end()});
+    }
+}
+
+void flow_opener::enqueue(const flow_id &flow, flow_record &record,
+                          const admission_request &request, const admission_verdict &verdict,
+                          std::vector<std::uint8_t> bytes)
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    const bool isExtended = verdict.outcome == admission_outcome::holdExtended;
+    // After an outage, an extended flow is held among those that can meet their target as long as
+    // it can itself. Otherwise they would all wait behind it until none meets its target.
+    const bool isLate =
+        !flow_admission::canMeetTarget(request) || (isExtended && m_context.isRotationStable());
+    const milliseconds maxWait = isExtended && !isLate
+        ? std::min(verdict.maxWait, flow_admission::timeToMeetTarget(request) + milliseconds(1))
+        : verdict.maxWait;
+    const held_rank rank{isLate, request.priority};
+    record.phase = flow_phase::held;
+    m_context.output.count(entry_counter::flowsHeld, 1);
+    m_context.output.logEvent("flow_held",
+                              {{"flow", toText(flow)},
+                               {"service", request.service},
+                               {"late", isLate ? "1" : "0"},
+                               {"extended", isExtended ? "1" : "0"},
+                               {"age_ms", toText(request.age)},
+                               {"held", std::to_string(m_held.size())},
+                               {"predicted_ms", toText(verdict.predictedWait)},
+                               {"most_ms", toText(maxWait)}});
+    const auto dropped = m_held.push(
+        held_flow{flow, request.service, std::move(bytes), rank, isExtended, now, now + maxWait});
+    if (dropped) {
+        if (flow_record *droppedRecord = m_context.flows.find(dropped->flow)) {
+            refuseOrDrop(dropped->flow, *droppedRecord, "too_many_held", verdict);
+        }
+    }
+}
+
+/// Whether no upstream can open the flow any more, so that a reset tells the caller the truth.
+/// Every SYN that the caller has sent so far must have come to this host, and none been forwarded.
+/// The next one may be on its way to another host.
+bool flow_opener::mayBeRefused(const flow_record &record) const
+{
+    if (record.wasForwarded) {
+        return false;
+    }
+    const milliseconds age = m_context.clock.monotonic() - record.firstOpeningAt;
+    for (std::size_t count = 0; count < openingSchedule.size(); ++count) {
+        const bool mayHaveBeenSent = age + maxPathVariation >= openingSchedule[count];
+        if (mayHaveBeenSent && (record.openingsSeen >> count & 1U) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void flow_opener::refuseOrDrop(const flow_id &flow, flow_record &record, const char *reason,
+                               const admission_verdict &verdict)
+{
+    const bool isRefused = mayBeRefused(record);
+    const std::string service = [&] {
+        const route *route = m_context.routes.find(flow);
+        return route == nullptr ? std::string() : m_context.routes.serviceFor(*route, flow);
+    }();
+    const monotonic_time now = m_context.clock.monotonic();
+    m_context.output.count(isRefused ? entry_counter::flowsRefused : entry_counter::flowsDropped,
+                           1);
+    m_context.output.logEvent(isRefused ? "flow_refused" : "flow_dropped",
+                              {{"flow", toText(flow)},
+                               {"reason", reason},
+                               {"service", service},
+                               {"age_ms", toText(now - record.firstOpeningAt)},
+                               {"predicted_ms", toText(verdict.predictedWait)},
+                               {"most_ms", toText(verdict.maxWait)},
+                               {"arrivals_per_s",
+                                std::to_string(std::lround(m_admission.arrivalsPerSecond(
+                                    service, leastUrgentPriority, now)))},
+                               {"open", std::to_string(m_context.loads.ownOpenRequestsOf(service))},
+                               {"slots", std::to_string(m_shares.of(service, now).slots)},
+                               {"report_age_ms", toText(oldestReportAge())},
+                               {"config", std::to_string(m_context.configVersion())}});
+    if (isRefused) {
+        m_context.flows.erase(flow);
+        m_context.output.reset(flow, 0);
+    } else {
+        record.phase = record.wasForwarded ? flow_phase::opening : flow_phase::dropped;
+    }
+}
+
+bool flow_opener::exceedsCallerShare(const flow_id &flow, const admission_request &request)
+{
+    const double probability = m_callerShares[request.service].admissionProbability(
+        flow.callerAddress, requestsPerSecond(request), m_context.clock.monotonic());
+    return probability < std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+void flow_opener::refuseWithoutRoute(const flow_id &flow)
+{
+    m_context.flows.erase(flow);
+    m_context.output.count(entry_counter::packetsWithoutRoute, 1);
+    m_context.output.count(entry_counter::flowsReset, 1);
+    m_context.output.logEvent("flow_refused",
+                              {{"flow", toText(flow)},
+                               {"reason", "no_route"},
+                               {"config", std::to_string(m_context.configVersion())}});
+    m_context.output.reset(flow, 0);
+}
+
+void flow_opener::forward(const flow_id &flow, flow_record &record, byte_view bytes,
+                          const placement_result &choice)
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    const known_upstream &upstream = m_context.directory.at(choice.upstream);
+    const unsigned open = m_context.loads.openRequests(choice.upstream);
+    record.phase = flow_phase::opening;
+    record.wasForwarded = true;
+    record.upstream = choice.upstream;
+    record.openingSentAt = now;
+    record.requestSentAt = now;
+    record.lastPacketAt = now;
+    record.awaitsAnswer = true;
+    record.requestsPerSlot =
+        std::max(1.0F, static_cast<float>(open + 1) / static_cast<float>(upstream.entry.slots));
+    m_context.loads.addOpenRequest(choice.upstream);
+    m_silence.expectAnswer(flow, bytes);
+    m_context.output.count(entry_counter::flowsPlaced, 1);
+    if (choice.reason != "least_load") {
+        m_context.output.count(
+            choice.reason == "trial" ? entry_counter::trialsSent : entry_counter::coldFlowsSent, 1);
+    }
+    m_context.output.logEvent(
+        "flow_placed",
+        {{"flow", toText(flow)},
+         {"upstream", toHex(upstream.entry.id)},
+         {"zone", upstream.entry.zone},
+         {"reason", std::string(choice.reason)},
+         {"open", std::to_string(open)},
+         {"own_open", std::to_string(m_context.loads.ownOpenRequests(choice.upstream))},
+         {"copy", record.openingsSeen > 1 ? "1" : "0"},
+         {"repeat", record.wasRetried ? "1" : "0"},
+         {"entry_revision", std::to_string(upstream.revision)},
+         {"config", std::to_string(m_context.configVersion())}});
+    m_context.output.forward(bytes, upstream);
+}
+
+void flow_opener::retryHeld()
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    if (m_held.isEmpty() || now < m_nextRetry) {
+        return;
+    }
+    m_nextRetry = now + heldRetryInterval;
+    const bool isReviewDue = now >= m_nextReview;
+    for (const std::string &service : m_held.services()) {
+        placeHeld(service);
+        if (isReviewDue) {
+            reviewExtended(service);
+        }
+    }
+    if (isReviewDue) {
+        m_nextReview = now + reviewInterval;
+    }
+    reconsiderExpired();
+}
+
+void flow_opener::placeHeld(const std::string &service)
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    for (std::size_t step = 0; step < heldFlowsPerRetry; ++step) {
+        const held_flow *next = m_held.front(service);
+        if (next == nullptr) {
+            return;
+        }
+        const route *route = m_context.routes.find(next->flow);
+        flow_record *record = m_context.flows.find(next->flow);
+        if (record == nullptr || record->phase != flow_phase::held) {
+            m_held.pop(service); // the flow has opened through another host
+            continue;
+        }
+        if (route == nullptr) {
+            refuseWithoutRoute(m_held.pop(service).flow);
+            continue;
+        }
+        const placement_outcome outcome =
+            tryPlace(next->flow, *record, *route, next->packet, place_in_queue::regular);
+        if (outcome == placement_outcome::saturated) {
+            return;
+        }
+        const held_flow item = m_held.pop(service);
+        if (outcome == placement_outcome::placed) {
+            m_context.output.observe(entry_distribution::held, now - item.heldAt);
+            if (item.isExtended) {
+                m_admission.onExtendedPlaced(service, now);
+            }
+        } else {
+            refuseOrDrop(item.flow, *record, "no_upstream", admission_verdict{});
+        }
+    }
+}
+
+/// Flows that were not placed in the expected time may be held longer.
+void flow_opener::reconsiderExpired()
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    for (held_flow &item : m_held.takeExpired(now)) {
+        const route *route = m_context.routes.find(item.flow);
+        flow_record *record = m_context.flows.find(item.flow);
+        if (record == nullptr || record->phase != flow_phase::held) {
+            continue;
+        }
+        m_context.output.count(entry_counter::flowsHeldTooLong, 1);
+        if (route == nullptr) {
+            refuseWithoutRoute(item.flow);
+            continue;
+        }
+        const admission_request request = requestFor(item.flow, *record, *route, item.service);
+        const held_rank rank{!flow_admission::canMeetTarget(request), route->priority};
+        const service_backlog backlog{m_held.aheadOf(item.service, rank, item.flow.callerAddress),
+                                      requestsPerSecond(request)};
+        const admission_verdict verdict = m_admission.decideExtended(request, backlog, now);
+        if (verdict.outcome == admission_outcome::holdExtended) {
+            enqueue(item.flow, *record, request, verdict, std::move(item.packet));
+        } else {
+            refuseOrDrop(item.flow, *record, "held_too_long", verdict);
+        }
+    }
+}
+
+/// The load has risen since extended flows were held: refuses those that it leaves no capacity for.
+void flow_opener::reviewExtended(const std::string &service)
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    const milliseconds oldestWait = m_held.oldestExtendedWait(service, now);
+    const bool isAfterOutage = !m_context.isRotationStable();
+    std::size_t ahead = m_held.aheadOf(service, held_rank{false, leastUrgentPriority}, 0);
+    const auto isHopeless = [&](const held_flow &item) {
+        const route *route = m_context.routes.find(item.flow);
+        const flow_record *record = m_context.flows.find(item.flow);
+        if (route == nullptr || record == nullptr || !mayBeRefused(*record)) {
+            return false;
+        }
+        const admission_request request = requestFor(item.flow, *record, *route, service);
+        const service_backlog backlog{ahead++, requestsPerSecond(request), oldestWait,
+                                      isAfterOutage};
+        return m_admission.decideExtended(request, backlog, now).outcome
+            == admission_outcome::refuse;
+    };
+    for (const held_flow &item : m_held.takeExtendedIf(service, isHopeless)) {
+        refuseOrDrop(item.flow, *m_context.flows.find(item.flow), "overloaded",
+                     admission_verdict{});
+    }
+}
+
+double flow_opener::updateUtilization(const std::string &service, const slot_share &share)
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    utilization &recent = m_utilizations[service];
+    const double current =
+        m_context.loads.ownOpenRequestsOf(service) / std::max(minSharedSlots, share.slots);
+    const double elapsed = double((now - recent.updatedAt).count());
+    recent.mean = current + (recent.mean - current) * std::exp(-elapsed / utilizationTimeMs);
+    recent.updatedAt = now;
+    return recent.mean;
+}
+
+service_backlog flow_opener::backlogFor(const admission_request &request, held_rank rank,
+                                        std::uint32_t caller)
+{
+    return service_backlog{m_held.aheadOf(request.service, rank, caller),
+                           requestsPerSecond(request),
+                           m_held.oldestExtendedWait(request.service, m_context.clock.monotonic()),
+                           !m_context.isRotationStable()};
+}
+
+double flow_opener::requestsPerSecond(const admission_request &request)
+{
+    const slot_share &share = m_shares.of(request.service, m_context.clock.monotonic());
+    return share.slots * 1000.0 / flow_admission::workTime(request);
+}
+
+unsigned flow_opener::newFlowsPerSecond() const
+{
+    return static_cast<unsigned>(
+        std::lround(m_shares.newFlowsPerSecond(m_context.clock.monotonic())));
+}
+
+milliseconds flow_opener::oldestReportAge() const
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    milliseconds age{0};
+    for (const auto &[name, peer] : m_context.roster.peers()) {
+        if (m_context.roster.isAlive(peer, now)) {
+            age = std::max(age, milliseconds(now - peer.lastHeardAt));
+        }
+    }
+    return age;
+}
+
+unsigned flow_opener::coldFlowsPerSecond(const std::string &service) const
+{
+    const service_limits limits = m_context.routes.limitsOf(service);
+    const double ratePerSecond = limits.coldRequestsPerSecond * m_context.settings.coldOvershoot
+        + m_context.settings.coldSlack;
+    // Halved, so that two hosts that both consider themselves the owner stay within the rate
+    // together.
+    return static_cast<unsigned>(std::max(0.0, ratePerSecond / 2));
+}
+
+monotonic_time flow_opener::nextDeadline() const
+{
+    return m_held.isEmpty() ? monotonic_time::max() : m_nextRetry;
+}
+
+} // namespace figstair
--- a/src/core/flow_placer.cpp
+++ b/src/core/flow_placer.cpp
@@ -15,6 +15,9 @@
 /// slots: a flow to another zone is lost when the zones are partitioned.
 constexpr double otherZoneCost = 0.35;
 
+/// Cost of an upstream outside this host's share, in units of one request's time.
+constexpr double otherShareCost = 0.2;
+
 /// Cost of a suspected upstream: higher than that of any queue that is still worth waiting in.
 constexpr double suspicionCost = 20.0;
 
@@ -45,13 +48,16 @@
     return m_loads.openRequests(upstream) < m_directory.at(upstream).entry.slots;
 }
 
-double flow_placer::expectedRequestsPerSlot(upstream_index upstream) const
+double flow_placer::expectedRequestsPerSlot(const placement_candidate &candidate,
+                                            const placement_request &request) const
 {
-    const double slots = m_directory.at(upstream).entry.slots;
-    const double own = m_loads.ownOpenRequests(upstream) / slots;
-    const double peers = m_loads.openRequests(upstream) / slots - own;
-    return own + m_meanPeerRequestsPerSlot
-        + m_peerDifferenceWeight * (peers - m_meanPeerRequestsPerSlot);
+    const double slots = m_directory.at(candidate.upstream).entry.slots;
+    const double own = m_loads.ownOpenRequests(candidate.upstream) / slots;
+    const double peers = m_loads.openRequests(candidate.upstream) / slots - own;
+    const double expectedPeers = candidate.homeSlots > 0
+        ? (1.0 - std::min(1.0, candidate.homeSlots / slots)) * request.ownUtilization
+        : m_meanPeerRequestsPerSlot;
+    return own + expectedPeers + m_peerDifferenceWeight * (peers - expectedPeers);
 }
 
 void flow_placer::evaluate(const placement_candidate &candidate, const placement_request &request,
@@ -77,14 +83,20 @@
             || !m_roster.owns(known.entry.id, known.entry.zone, now))) {
         return;
     }
-    const double requestsPerSlot = expectedRequestsPerSlot(upstream);
+    const bool isHome = candidate.homeSlots > 0;
+    const bool isShared = request.share != nullptr && request.share->slots > 0;
+    const double requestsPerSlot = expectedRequestsPerSlot(candidate, request);
     const double requestsPerSlotWithFlow = requestsPerSlot + 1.0 / known.entry.slots;
-    if (requestsPerSlotWithFlow > std::max(request.queueLimit, 1.0)) {
+    const double limit = isHome || !isShared ? request.queueLimit : request.otherShareLimit;
+    if (requestsPerSlotWithFlow > std::max(limit, 1.0)) {
         return;
     }
     double cost = m_loads.slownessRatio(upstream, now) * std::max(1.0, requestsPerSlotWithFlow)
         + requestsPerSlotCost * requestsPerSlot;
     cost += candidate.isLocal ? 0.0 : otherZoneCost;
+    cost += isHome || !isShared
+        ? 0.0
+        : otherShareCost + std::uniform_real_distribution<double>(0, 0.3)(m_random);
     cost += candidate.isZoneReachable ? 0.0 : unreachableZoneCost;
     cost += eligibility == placement_eligibility::lastResort ? suspicionCost : 0.0;
     if (isTrial) {
@@ -139,7 +151,10 @@
         const std::size_t first = m_random() % listed.size();
         for (std::size_t step = 0; step < std::min(maxCandidates, listed.size()); ++step) {
             const upstream_index upstream = listed[(first + step) % listed.size()];
-            m_candidates.push_back(placement_candidate{upstream, isLocal, isZoneReachable});
+            if (request.share != nullptr && request.share->homeSlots(upstream) > 0) {
+                continue;
+            }
+            m_candidates.push_back(placement_candidate{upstream, isLocal, isZoneReachable, 0});
             peerRequestsPerSlot +=
                 double(m_loads.openRequests(upstream) - m_loads.ownOpenRequests(upstream))
                 / m_directory.at(upstream).entry.slots;
@@ -147,6 +162,14 @@
     }
     m_meanPeerRequestsPerSlot =
         m_candidates.empty() ? 0 : peerRequestsPerSlot / double(m_candidates.size());
+    if (request.share != nullptr) {
+        for (const auto &[upstream, slots] : request.share->home) {
+            const std::uint16_t zone = m_directory.at(upstream).zone;
+            m_candidates.push_back(placement_candidate{
+                upstream, zone == ownZone,
+                m_roster.isZoneReachable(m_directory.zoneName(zone), now), slots});
+        }
+    }
     const auto reportCycleMs = static_cast<double>(m_roster.reportCycle(true).count());
     m_peerDifferenceWeight = std::min(1.0, double(request.expectedTime.count()) / reportCycleMs);
 }
--- a/src/core/load_board.cpp
+++ b/src/core/load_board.cpp
@@ -44,17 +44,39 @@
 
 void load_board::addOpenRequest(upstream_index upstream)
 {
-    ++at(upstream).ownRequests;
+    record &item = at(upstream);
+    if (item.ownRequests == 0) {
+        item.service = m_directory.at(upstream).entry.service;
+    }
+    ++item.ownRequests;
+    ++m_ownRequestsByService[item.service];
 }
 
 void load_board::removeOpenRequest(upstream_index upstream)
 {
     record &item = at(upstream);
-    if (item.ownRequests > 0) {
-        --item.ownRequests;
+    removeOwnRequests(item, std::min(1U, item.ownRequests));
+}
+
+void load_board::removeOwnRequests(record &item, unsigned count)
+{
+    if (count == 0) {
+        return;
+    }
+    item.ownRequests -= count;
+    const auto ofService = m_ownRequestsByService.find(item.service);
+    ofService->second -= count;
+    if (ofService->second == 0) {
+        m_ownRequestsByService.erase(ofService);
     }
 }
 
+unsigned load_board::ownOpenRequestsOf(const std::string &service) const
+{
+    const auto found = m_ownRequestsByService.find(service);
+    return found == m_ownRequestsByService.end() ? 0 : found->second;
+}
+
 void load_board::onServed(upstream_index upstream, double ratio, monotonic_time now)
 {
     record &item = at(upstream);
@@ -107,7 +129,9 @@
                                   [&](const reported &row) { return row.upstream == upstream; }),
                    rows.end());
     }
-    at(upstream) = record{};
+    record &item = at(upstream);
+    removeOwnRequests(item, item.ownRequests);
+    item = record{};
 }
 
 unsigned load_board::ownOpenRequests(upstream_index upstream) const
--- a/src/core/peer_roster.cpp
+++ b/src/core/peer_roster.cpp
@@ -115,7 +115,7 @@
     }
     if (!known.wasAlive || known.entry.incarnation != host.incarnation
         || known.isLeaving != isLeaving) {
-        noteChange(now);
+        noteChange(host.zone, now);
     }
     known.wasAlive = true;
     known.entry = host;
@@ -128,12 +128,20 @@
     return true;
 }
 
+void peer_roster::setNewFlowsPerSecond(const std::string &name, double rate)
+{
+    const auto found = m_peers.find(name);
+    if (found != m_peers.end()) {
+        found->second.newFlowsPerSecond = rate;
+    }
+}
+
 void peer_roster::advance(monotonic_time now)
 {
     for (auto item = m_peers.begin(); item != m_peers.end();) {
         if (item->second.wasAlive && !isAlive(item->second, now)) {
             item->second.wasAlive = false;
-            noteChange(now);
+            noteChange(item->second.entry.zone, now);
         }
         const bool isForgotten =
             !item->second.isListed && now - item->second.lastHeardAt > unlistedPeerLifetime;
@@ -163,10 +171,17 @@
     return m_peers.size() > maxFullMeshPeers;
 }
 
-void peer_roster::noteChange(monotonic_time now)
+void peer_roster::noteChange(const std::string &zone, monotonic_time now)
 {
-    m_changedAt = now;
     m_ownerCache.clear();
+    // The routers send packets to the hosts of the caller's zone, and to those of the nearest zones
+    // while it has none.
+    const bool hasLiveHost = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+        return item.second.entry.zone == zone && item.second.wasAlive;
+    });
+    if (zone == m_self.zone || !hasLiveHost) {
+        m_changedAt = now;
+    }
 }
 
 void peer_roster::updateSameZoneCount()
--- a/src/core/report_exchange.cpp
+++ b/src/core/report_exchange.cpp
@@ -176,6 +176,7 @@
     if (!m_roster.onHostMessage(report.sender, report.isLeaving, now)) {
         return;
     }
+    m_roster.setNewFlowsPerSecond(report.sender.name, report.newFlowsPerSecond);
     if (!report.isDelta) {
         m_loads.setReport(report.sender.name, report.rows, now);
     }
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -47,10 +47,16 @@
     m_config = config;
     m_isLoaded = true;
     m_byAddress.clear();
+    m_mostUrgentPriorities.clear();
     m_byAddress.reserve(m_config.routes.size());
     for (std::size_t index = 0; index < m_config.routes.size(); ++index) {
         const route &entry = m_config.routes[index];
         m_byAddress.emplace(addressKey(entry.address, entry.port), index);
+        for (const weighted_service &choice : entry.services) {
+            const auto [position, isNew] =
+                m_mostUrgentPriorities.try_emplace(choice.service, entry.priority);
+            position->second = std::min(position->second, entry.priority);
+        }
     }
     return true;
 }
@@ -100,6 +106,12 @@
     return noService;
 }
 
+unsigned route_table::mostUrgentPriority(const std::string &service) const
+{
+    const auto found = m_mostUrgentPriorities.find(service);
+    return found == m_mostUrgentPriorities.end() ? 0 : found->second;
+}
+
 service_limits route_table::limitsOf(const std::string &service) const
 {
     const auto found =
--- a/src/core/service_times.cpp
+++ b/src/core/service_times.cpp
@@ -82,6 +82,11 @@
                                          : found->second.ms));
 }
 
+milliseconds service_times::handshakeTime() const
+{
+    return milliseconds(std::llround(m_handshakeMs));
+}
+
 milliseconds service_times::handshakeTimeout() const
 {
     const double timeoutMs = timeoutBaseMs + timeoutMeanFactor * m_handshakeMs;
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -313,7 +313,7 @@
     {
         return json::array({reportKind, toJson(report.sender), report.sequence, report.isLeaving,
                             report.viewRevision, report.viewAge.count(), report.configVersion,
-                            encodeRows(report.rows), report.isDelta});
+                            encodeRows(report.rows), report.isDelta, report.newFlowsPerSecond});
     }
     json operator()(const view_changes &changes) const
     {
@@ -339,6 +339,7 @@
         report.configVersion = value.at(6).get<std::uint64_t>();
         report.rows = decodeRows(value.at(7).get_binary());
         report.isDelta = value.size() > 8 && value.at(8).get<bool>();
+        report.newFlowsPerSecond = value.size() > 9 ? value.at(9).get<unsigned>() : 0;
         return report;
     }
     case changesKind: {
--- a/tests/core/entry_parts_test.cpp
+++ b/tests/core/entry_parts_test.cpp
@@ -2,7 +2,6 @@
 
 #include "entry/entry_doubles.h"
 #include "figstair/core/flow_table.h"
-#include "figstair/core/held_flows.h"
 #include "figstair/core/load_board.h"
 #include "figstair/core/peer_roster.h"
 #include "figstair/core/service_times.h"
@@ -21,12 +20,6 @@
     return flow_id{caller, 1, port, 443};
 }
 
-held_flow heldFlow(std::uint16_t port, unsigned priority, std::int64_t expiresAt,
-                   std::uint32_t caller = 7)
-{
-    return held_flow{flowOf(port, caller), {1}, priority, ms(0), ms(expiresAt)};
-}
-
 struct one_known_upstream
 {
     one_known_upstream()
@@ -44,45 +37,6 @@
 
 } // namespace
 
-TEST_CASE("held_flows: two priorities: the higher is served first, callers in turn")
-{
-    held_flows held(8);
-    held.push(heldFlow(1, 2, 100));
-    held.push(heldFlow(2, 1, 100));
-    held.push(heldFlow(3, 1, 100));
-    held.push(heldFlow(4, 1, 100, 8));
-    std::vector<held_flow> late;
-    CHECK(held.pop(ms(1), late)->flow.callerPort == 2);
-    CHECK(held.pop(ms(1), late)->flow.callerPort == 4);
-    CHECK(held.pop(ms(1), late)->flow.callerPort == 3);
-    CHECK(held.pop(ms(1), late)->flow.callerPort == 1);
-    CHECK_FALSE(held.pop(ms(1), late).has_value());
-    CHECK(late.empty());
-}
-
-TEST_CASE("held_flows: a flow has expired: is returned separately")
-{
-    held_flows held(8);
-    held.push(heldFlow(1, 1, 50));
-    held.push(heldFlow(2, 1, 500));
-    std::vector<held_flow> late;
-    CHECK(held.pop(ms(60), late)->flow.callerPort == 2);
-    REQUIRE(late.size() == 1);
-    CHECK(late.front().flow.callerPort == 1);
-    CHECK(held.isEmpty());
-}
-
-TEST_CASE("held_flows: full of one caller's flows: another caller's takes the place of one")
-{
-    held_flows held(2);
-    CHECK_FALSE(held.push(heldFlow(1, 1, 100)).has_value());
-    CHECK_FALSE(held.push(heldFlow(2, 1, 100)).has_value());
-    const auto dropped = held.push(heldFlow(3, 1, 100, 8));
-    REQUIRE(dropped.has_value());
-    CHECK(dropped->flow.callerPort == 2);
-    CHECK(held.push(heldFlow(4, 1, 100))->flow.callerPort == 4);
-}
-
 TEST_CASE("flow_table: full: only a new flow evicts, the first in sweep order, reported once")
 {
     flow_table flows(2);
@@ -182,19 +136,36 @@
     CHECK(roster.peers().empty());
 }
 
-TEST_CASE("peer_roster: a host comes, leaves or falls silent: the time of the change is known")
+TEST_CASE("peer_roster: a host of the own zone comes, leaves or falls silent: the time of the "
+          "change is known")
 {
     peer_roster roster(host_record{"me", "z", {}, 1});
-    roster.onHostMessage(host_record{"a", "y", {}, 5}, false, ms(100));
+    roster.onHostMessage(host_record{"a", "z", {}, 5}, false, ms(100));
     CHECK(roster.changedAt() == ms(100));
-    roster.onHostMessage(host_record{"a", "y", {}, 5}, false, ms(200));
+    roster.onHostMessage(host_record{"a", "z", {}, 5}, false, ms(200));
     CHECK(roster.changedAt() == ms(100));
-    roster.onHostMessage(host_record{"a", "y", {}, 5}, true, ms(300));
+    roster.onHostMessage(host_record{"a", "z", {}, 5}, true, ms(300));
     CHECK(roster.changedAt() == ms(300));
     roster.advance(ms(900));
     CHECK(roster.changedAt() == ms(900));
 }
 
+TEST_CASE("peer_roster: hosts of another zone come and fall silent: only the first and the last "
+          "change who gets whose packets")
+{
+    peer_roster roster(host_record{"me", "z", {}, 1});
+    roster.onHostMessage(host_record{"a", "y", {}, 5}, false, ms(100));
+    CHECK(roster.changedAt() == ms(100));
+    roster.onHostMessage(host_record{"b", "y", {}, 5}, false, ms(200));
+    roster.onHostMessage(host_record{"a", "y", {}, 6}, false, ms(300));
+    CHECK(roster.changedAt() == ms(100));
+    roster.onHostMessage(host_record{"b", "y", {}, 5}, false, ms(500));
+    roster.advance(ms(900));
+    CHECK(roster.changedAt() == ms(100));
+    roster.advance(ms(1100));
+    CHECK(roster.changedAt() == ms(1100));
+}
+
 TEST_CASE("peer_roster: a host restarts with its clock set back: accepted once the old incarnation "
           "is silent")
 {
--- a/tests/entry/entry_world.cpp
+++ b/tests/entry/entry_world.cpp
@@ -20,7 +20,6 @@
 constexpr unsigned maxRetries = 2;
 constexpr std::uint32_t routeAddress = 0xC6120001;
 constexpr std::uint16_t routePort = 443;
-constexpr unsigned callersPerZone = 40;
 constexpr std::uint32_t ackBeforeAnswer = 1;
 constexpr std::uint32_t ackAfterAnswer = 1000;
 constexpr std::uint32_t ackAfterError = 120;
@@ -62,7 +61,7 @@
         world.after(callerLatency, [this, flow] {
             const auto found = world.m_attempts.find({flow.callerAddress, flow.callerPort});
             if (found != world.m_attempts.end()) {
-                world.endAttempt(*found->second);
+                world.refuse(*found->second);
             }
         });
     }
@@ -110,6 +109,8 @@
 struct entry_world::request
 {
     unsigned zone = 0;
+    std::size_t kind = 0; ///< index of its request_class
+    bool isGreedy = false;
     std::uint32_t caller = 0;
     monotonic_time sentAt{};
     unsigned tries = 0;
@@ -120,8 +121,10 @@
 {
     request *owner = nullptr;
     flow_id flow;
+    monotonic_time startedAt{};
     bool isOpen = false;
     bool isOver = false;
+    bool reachedUpstream = false; ///< one of its SYNs
     std::uint32_t tag = 0;
     std::size_t upstreamIndex = 0;
     unsigned dataTransmissions = 0;
@@ -132,6 +135,10 @@
     , m_random(plan.seed)
     , m_cutZones(plan.zones)
 {
+    if (m_plan.classes.empty()) {
+        m_plan.classes.push_back(request_class{1, plan.workTime, plan.latencyTarget, 0});
+    }
+    m_classSeconds.resize(m_plan.classes.size());
     for (unsigned zone = 0; zone < plan.zones; ++zone) {
         for (unsigned number = 0; number < plan.upstreamsPerZone; ++number) {
             m_upstreams.push_back(std::make_unique<upstream>());
@@ -265,7 +272,7 @@
         if (isCutBetween(hostState.zone, m_hosts[other]->zone)) {
             continue;
         }
-        after(crossZoneLatency, [this, other, report, second, bytes] {
+        after(crossZoneLatency + m_plan.reportDelay, [this, other, report, second, bytes] {
             m_hosts[other]->receivedBySecond[second] += bytes;
             if (m_hosts[other]->core) {
                 m_hosts[other]->core->onPeerReport(*report);
@@ -323,24 +330,53 @@
 
 void entry_world::onArrival()
 {
-    const auto second = static_cast<std::size_t>(sinceStart().count() / 1000);
-    m_seconds.resize(std::max(m_seconds.size(), second + 1));
-    ++m_seconds[second].sent;
     auto next = std::make_unique<request>();
-    next->zone = static_cast<unsigned>(m_random() % m_plan.zones);
-    next->caller =
-        0x64400000 + next->zone * 256 + static_cast<std::uint32_t>(m_random() % callersPerZone);
+    if (m_plan.zoneDemand.empty()) {
+        next->zone = static_cast<unsigned>(m_random() % m_plan.zones);
+    } else {
+        std::discrete_distribution<unsigned> zones(m_plan.zoneDemand.begin(),
+                                                   m_plan.zoneDemand.end());
+        next->zone = zones(m_random);
+    }
+    std::uniform_real_distribution<double> uniform(0, 1);
+    next->isGreedy = uniform(m_random) < m_plan.greedyShare;
+    const auto caller =
+        next->isGreedy ? 0 : static_cast<std::uint32_t>(1 + m_random() % m_plan.callersPerZone);
+    next->caller = 0x64400000 + next->zone * 65536 + caller;
+    double rest = uniform(m_random);
+    while (next->kind + 1 < m_plan.classes.size() && rest >= m_plan.classes[next->kind].share) {
+        rest -= m_plan.classes[next->kind].share;
+        ++next->kind;
+    }
     next->sentAt = m_clock.monotonic();
     request &added = *next;
     m_requests.push_back(std::move(next));
+    second_result sent;
+    sent.sent = 1;
+    record(added, sent);
     startAttempt(added);
     after(m_plan.deadline, [this, &added] { finish(added, false); });
-    std::exponential_distribution<double> gap(m_plan.requestsPerSecond / 1000.0);
+    std::exponential_distribution<double> gap(m_plan.requestsPerSecond * m_loadFactor / 1000.0);
     const double wait = gap(m_random) + m_arrivalRemainder;
     m_arrivalRemainder = wait - static_cast<double>(static_cast<std::int64_t>(wait));
     after(milliseconds(static_cast<std::int64_t>(wait)), [this] { onArrival(); });
 }
 
+void entry_world::record(const request &requestState, const second_result &change)
+{
+    const milliseconds sentSinceStart = requestState.sentAt - monotonic_time(milliseconds(3000));
+    const auto second = static_cast<std::size_t>(sentSinceStart.count() / 1000);
+    const auto addTo = [&](std::vector<second_result> &results) {
+        results.resize(std::max(results.size(), second + 1));
+        results[second].add(change);
+    };
+    addTo(m_seconds);
+    addTo(m_classSeconds[requestState.kind]);
+    if (requestState.isGreedy) {
+        addTo(m_greedySeconds);
+    }
+}
+
 void entry_world::startAttempt(request &requestState)
 {
     if (requestState.isOver || requestState.tries > maxRetries) {
@@ -351,18 +387,36 @@
     m_allAttempts.push_back(std::make_unique<attempt>());
     attempt &started = *m_allAttempts.back();
     started.owner = &requestState;
-    started.flow = flow_id{requestState.caller, routeAddress, ++m_nextPort, routePort};
+    started.startedAt = m_clock.monotonic();
+    started.flow = flow_id{requestState.caller, routeAddress, ++m_nextPort,
+                           static_cast<std::uint16_t>(routePort + requestState.kind)};
     m_attempts[{requestState.caller, started.flow.callerPort}] = &started;
     sendOpening(started, 0);
     after(milliseconds(200), [this, &started] { sendOpening(started, 1); });
     after(milliseconds(600), [this, &started] { sendOpening(started, 2); });
     after(attemptTimeout, [this, &started] {
-        if (!started.isOpen) {
+        if (!started.isOpen && !started.isOver && !started.owner->isOver) {
+            second_result timedOut;
+            timedOut.timedOutTries = 1;
+            record(*started.owner, timedOut);
             endAttempt(started);
         }
     });
 }
 
+void entry_world::refuse(attempt &attemptState)
+{
+    if (attemptState.isOver || attemptState.owner->isOver) {
+        return;
+    }
+    m_refusalTimes.push_back(m_clock.monotonic() - attemptState.startedAt);
+    m_falseRefusals += attemptState.reachedUpstream ? 1 : 0;
+    second_result refused;
+    refused.refusedTries = 1;
+    record(*attemptState.owner, refused);
+    endAttempt(attemptState);
+}
+
 void entry_world::endAttempt(attempt &attemptState)
 {
     if (attemptState.isOver) {
@@ -428,6 +482,10 @@
         return;
     }
     if (packet.isSyn) {
+        const auto caller = m_attempts.find(key);
+        if (caller != m_attempts.end()) {
+            caller->second->reachedUpstream = true;
+        }
         upstreamState.openings.push_back(m_clock.monotonic());
         upstreamState.flows.emplace(key, false);
         after(callerLatency, [this, key, tag, index] {
@@ -475,8 +533,10 @@
         ++upstreamState.busy;
         ++upstreamState.startedBySecond[static_cast<std::size_t>(sinceStart().count() / 1000)];
         std::uniform_real_distribution<double> spread(0.5, 1.5);
-        const double time = static_cast<double>(m_plan.workTime.count()) * spread(m_random)
-            * upstreamState.slowdown;
+        const request_class &kind =
+            m_plan.classes[static_cast<std::size_t>(flow.routePort - routePort)];
+        const double time =
+            static_cast<double>(kind.workTime.count()) * spread(m_random) * upstreamState.slowdown;
         after(milliseconds(static_cast<std::int64_t>(time)),
               [this, index, flow, incarnation = upstreamState.incarnation] {
                   upstream &done = *m_upstreams[index];
@@ -524,15 +584,16 @@
         return;
     }
     requestState.isOver = true;
-    const milliseconds sentSinceStart = requestState.sentAt - monotonic_time(milliseconds(3000));
-    second_result &second = m_seconds[static_cast<std::size_t>(sentSinceStart.count() / 1000)];
+    const milliseconds time = m_clock.monotonic() - requestState.sentAt;
+    second_result outcome;
     if (!isServed) {
-        ++second.failed;
-    } else if (m_clock.monotonic() - requestState.sentAt <= m_plan.latencyTarget) {
-        ++second.inTarget;
+        outcome.failed = 1;
+    } else if (time <= m_plan.classes[requestState.kind].latencyTarget) {
+        outcome.inTarget = 1;
     } else {
-        ++second.late;
+        outcome.late = 1;
     }
+    record(requestState, outcome);
 }
 
 record_change entry_world::upstreamChangeOf(std::size_t index) const
@@ -554,13 +615,15 @@
 {
     route_config config;
     config.version = 1;
-    config.routes.push_back(route{"r1",
-                                  routeAddress,
-                                  routePort,
-                                  {{serviceName, 1}},
-                                  m_plan.deadline,
-                                  m_plan.latencyTarget,
-                                  0});
+    for (std::size_t kind = 0; kind < m_plan.classes.size(); ++kind) {
+        config.routes.push_back(route{"r" + std::to_string(kind + 1),
+                                      routeAddress,
+                                      static_cast<std::uint16_t>(routePort + kind),
+                                      {{serviceName, 1}},
+                                      m_plan.deadline,
+                                      m_plan.classes[kind].latencyTarget,
+                                      m_plan.classes[kind].priority});
+    }
     config.services.push_back(service_limits{serviceName, 2000, milliseconds(2000), 0});
     record_change change;
     change.revision = 1;
@@ -680,16 +743,60 @@
     return highest;
 }
 
-second_result entry_world::sum(std::size_t first, std::size_t last) const
+void second_result::add(const second_result &other)
+{
+    sent += other.sent;
+    inTarget += other.inTarget;
+    late += other.late;
+    failed += other.failed;
+    refusedTries += other.refusedTries;
+    timedOutTries += other.timedOutTries;
+}
+
+namespace {
+
+second_result sumOf(const std::vector<second_result> &results, std::size_t first, std::size_t last)
 {
     second_result total;
-    for (std::size_t second = first; second < std::min(last, m_seconds.size()); ++second) {
-        total.sent += m_seconds[second].sent;
-        total.inTarget += m_seconds[second].inTarget;
-        total.late += m_seconds[second].late;
-        total.failed += m_seconds[second].failed;
+    for (std::size_t second = first; second < std::min(last, results.size()); ++second) {
+        total.add(results[second]);
     }
     return total;
 }
 
+} // namespace
+
+second_result entry_world::sum(std::size_t first, std::size_t last) const
+{
+    return sumOf(m_seconds, first, last);
+}
+
+second_result entry_world::sumOfClass(std::size_t number, std::size_t first, std::size_t last) const
+{
+    return sumOf(m_classSeconds[number], first, last);
+}
+
+second_result entry_world::sumOfGreedy(std::size_t first, std::size_t last) const
+{
+    return sumOf(m_greedySeconds, first, last);
+}
+
+std::size_t entry_world::refusalsAfter(milliseconds time) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_refusalTimes.begin(), m_refusalTimes.end(),
+                      [&](milliseconds refusal) { return refusal > time; }));
+}
+
+double entry_world::capacity() const
+{
+    double meanWork = 0;
+    double shares = 0;
+    for (const request_class &kind : m_plan.classes) {
+        meanWork += kind.share * double(kind.workTime.count());
+        shares += kind.share;
+    }
+    return double(m_plan.slots * m_upstreams.size()) * 1000.0 * shares / meanWork;
+}
+
 } // namespace figstair
--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -28,6 +28,15 @@
     monotonic_time m_now{milliseconds(1000)};
 };
 
+/// Requests of one kind: those of one route.
+struct request_class
+{
+    double share = 1; ///< of all requests
+    milliseconds workTime{60}; ///< mean; uniformly distributed from 50% to 150%
+    milliseconds latencyTarget{250};
+    unsigned priority = 0;
+};
+
 /// Parameters of a simulated deployment. All times are simulated, not measured.
 struct world_plan
 {
@@ -41,6 +50,12 @@
     milliseconds workTime{60}; ///< mean; uniformly distributed from 50% to 150%
     milliseconds latencyTarget{250};
     milliseconds deadline{4000};
+    /// Kinds of requests; if empty, one kind with the times above.
+    std::vector<request_class> classes;
+    unsigned callersPerZone = 40;
+    std::vector<double> zoneDemand; ///< shares of the requests by zone; if empty, all the same
+    double greedyShare = 0; ///< share of the requests that one caller of each zone sends
+    milliseconds reportDelay{0}; ///< added to the time that reports between hosts take
 };
 
 /// Outcomes of the requests that were first sent within one second.
@@ -50,6 +65,10 @@
     unsigned inTarget = 0;
     unsigned late = 0;
     unsigned failed = 0;
+    unsigned refusedTries = 0; ///< ended by a reset of a host
+    unsigned timedOutTries = 0; ///< ended without any answer
+
+    void add(const second_result &other);
 };
 
 /// Simulation of routers, upstreams and callers around the real entry_core of each host. Like the
@@ -78,6 +97,9 @@
     void restartUpstreamCold(std::size_t upstream, milliseconds coldFor);
     void setUpstreamSlowdown(std::size_t upstream, double slowdown);
     void cutZone(unsigned zone, bool isCut);
+    void setZoneDemand(std::vector<double> shares) { m_plan.zoneDemand = std::move(shares); }
+    /// Multiplies the rate of requests.
+    void setLoad(double factor) { m_loadFactor = factor; }
     void drainUpstream(std::size_t upstream);
 
     std::size_t hostCount() const { return m_hosts.size(); }
@@ -102,6 +124,19 @@
     /// Sum of seconds() over [@p first, @p last).
     second_result sum(std::size_t first, std::size_t last) const;
 
+    /// The same for the requests of one class of the plan, and for those of the greedy callers.
+    second_result sumOfClass(std::size_t number, std::size_t first, std::size_t last) const;
+    second_result sumOfGreedy(std::size_t first, std::size_t last) const;
+
+    /// Number of tries that a host refused later than @p time after the caller's SYN.
+    std::size_t refusalsAfter(milliseconds time) const;
+
+    /// Requests per second that all upstreams can complete.
+    double capacity() const;
+
+    /// Number of flows that a host refused although its caller's SYN reached an upstream.
+    unsigned falseRefusals() const { return m_falseRefusals; }
+
 private:
     struct host;
     struct upstream;
@@ -137,6 +172,9 @@
     void onAnswerAtCaller(attempt &attemptState, std::size_t upstreamIndex, bool isServed);
     void answerWithError(std::size_t upstream, const flow_id &flow);
     void finish(request &requestState, bool isServed);
+    void refuse(attempt &attemptState);
+    /// Adds @p change to the results of the second in which the request was first sent.
+    void record(const request &requestState, const second_result &change);
     record_change upstreamChangeOf(std::size_t upstream) const;
     std::vector<record_change> listing() const;
     void announce(std::size_t upstream);
@@ -154,6 +192,11 @@
     std::map<std::pair<std::uint32_t, std::uint16_t>, attempt *> m_attempts;
     std::vector<std::unique_ptr<attempt>> m_allAttempts;
     std::vector<second_result> m_seconds;
+    std::vector<std::vector<second_result>> m_classSeconds; ///< by class
+    std::vector<second_result> m_greedySeconds;
+    std::vector<milliseconds> m_refusalTimes;
+    unsigned m_falseRefusals = 0;
+    double m_loadFactor = 1;
     std::vector<bool> m_cutZones;
     std::uint16_t m_nextPort = 1024;
     double m_arrivalRemainder = 0; ///< fraction of a millisecond carried over from the last gap
