--- a/bench/entry_bench.cpp
+++ b/bench/entry_bench.cpp
@@ -1,5 +1,5 @@
-// Benchmarks of the packet path: forwarding a packet, placing a flow and applying a route
-// configuration.
+// Benchmarks of the packet path: forwarding a packet, placing or refusing a flow and applying a
+// route configuration.
 
 #include <array>
 
@@ -26,8 +26,11 @@
         platform::encodeForUpstream(packet, upstream, m_buffer);
         benchmark::DoNotOptimize(m_buffer.data());
     }
+    void reset(const flow_id &, std::uint32_t) override { ++m_resets; }
+    std::size_t resets() const { return m_resets; }
 
 private:
+    std::size_t m_resets = 0;
     byte_buffer m_buffer;
 };
 
@@ -50,7 +53,7 @@
 /// A host with 13 routes and a given number of upstreams.
 struct loaded_host
 {
-    explicit loaded_host(std::size_t upstreams)
+    explicit loaded_host(std::size_t upstreams, unsigned slots = 4)
     {
         std::vector<record_change> listing;
         record_change change;
@@ -62,7 +65,7 @@
             entry.id = id;
             entry.service = "desk";
             entry.zone = "zone-" + std::to_string(id % 3);
-            entry.slots = 4;
+            entry.slots = slots;
             listing.push_back(changeOf(entry, 1));
         }
         core.onListing(listing, 2);
@@ -72,6 +75,7 @@
     {
         entry_settings result;
         result.self = host_record{"h", "zone-0", {}, 1, 100};
+        result.maxFlows = std::size_t{1} << 20U;
         return result;
     }
 
@@ -80,7 +84,8 @@
     entry_core core{settings(), clock, 1, output};
 };
 
-std::array<std::uint8_t, 31> packetBytes(std::uint8_t flags, std::uint16_t port, std::uint32_t tag)
+std::array<std::uint8_t, 31> packetBytes(std::uint8_t flags, std::uint16_t port, std::uint32_t tag,
+                                         std::uint32_t caller = callerAddress)
 {
     std::array<std::uint8_t, 31> bytes{};
     bytes[3] = 1;
@@ -88,7 +93,7 @@
         const unsigned shift = 24 - 8 * index;
         bytes[8 + index] = static_cast<std::uint8_t>(tag >> shift);
         bytes[21 + index] = static_cast<std::uint8_t>(routeAddress >> shift);
-        bytes[25 + index] = static_cast<std::uint8_t>(callerAddress >> shift);
+        bytes[25 + index] = static_cast<std::uint8_t>(caller >> shift);
     }
     bytes[16] = flags;
     bytes[19] = static_cast<std::uint8_t>(routePort >> 8U);
@@ -144,6 +149,29 @@
     }
 }
 
+/// A new flow while all upstreams are full, each of another caller.
+void flowRefused(benchmark::State &state)
+{
+    loaded_host host(static_cast<std::size_t>(state.range(0)), 1);
+    std::uint32_t number = 0;
+    const auto openNext = [&] {
+        ++number;
+        const auto opening = packetBytes(openFlag, static_cast<std::uint16_t>(number), 0,
+                                         callerAddress + number % 40);
+        host.core.onPacket(*platform::decodePacket(opening), opening);
+    };
+    while (host.output.resets() == 0) {
+        openNext();
+        if (number % 1024 == 0) {
+            host.clock.advance(milliseconds(1));
+        }
+    }
+    for (auto step : state) {
+        (void)step;
+        openNext();
+    }
+}
+
 void configApplied(benchmark::State &state)
 {
     const auto routes = static_cast<std::size_t>(state.range(0));
@@ -178,6 +206,7 @@
 BENCHMARK(bareForwarding);
 BENCHMARK(packetOfOpenFlow)->Arg(15)->Arg(150)->Arg(73000);
 BENCHMARK(flowPlacedAndEnded)->Arg(15)->Arg(150)->Arg(73000);
+BENCHMARK(flowRefused)->Arg(15)->Arg(300)->Arg(73000);
 BENCHMARK(configApplied)->Arg(170)->Arg(1700)->Arg(17000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(patchApplied)->Arg(170)->Arg(1700)->Arg(17000)->Unit(benchmark::kMicrosecond);
 BENCHMARK_MAIN();
--- a/include/figstair/core/flow_placer.h
+++ b/include/figstair/core/flow_placer.h
@@ -77,6 +77,7 @@
     };
 
     void collectCandidates(const placement_request &request, monotonic_time now);
+    void collectHome(const placement_request &request, std::uint16_t ownZone, monotonic_time now);
     double expectedRequestsPerSlot(const placement_candidate &candidate,
                                    const placement_request &request) const;
     void evaluate(const placement_candidate &candidate, const placement_request &request,
--- a/include/figstair/core/slot_shares.h
+++ b/include/figstair/core/slot_shares.h
@@ -15,11 +15,13 @@
 /// The part of a service's slots that is this host's.
 struct slot_share
 {
-    /// Slots of this host at single upstreams, most of them whole upstreams.
+    /// Slots of this host at single upstreams, most of them whole upstreams; by index. Some of them
+    /// may have left since.
     std::vector<std::pair<upstream_index, double>> home;
     double slots = 0; ///< sum over home
     double serviceSlots = 0; ///< of all hosts
 
+    /// Slots of this host at @p upstream.
     double homeSlots(upstream_index upstream) const;
 };
 
@@ -46,8 +48,8 @@
     /// New flows per second at this host; 0 while not known.
     double newFlowsPerSecond(monotonic_time now) const { return m_arrivals.perSecond(now); }
 
-    /// This host's part of @p service. Recomputed several times a second; valid until the next call
-    /// for that service.
+    /// This host's part of @p service. Recomputed several times a second, less often for services
+    /// of thousands of upstreams; valid until the next call for that service.
     const slot_share &of(const std::string &service, monotonic_time now);
 
 private:
@@ -64,6 +66,7 @@
         /// Upstreams by zone name and id, in an order that is the same at all hosts.
         std::vector<std::pair<std::string, std::vector<upstream_index>>> order;
         std::uint64_t orderGeneration = 0; ///< of the directory
+        std::size_t upstreams = 0;
     };
 
     void updateHosts(monotonic_time now);
--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -80,6 +80,9 @@
     /// the directory changes.
     boost::span<const upstream_index> candidates(const std::string &service, std::uint16_t zone);
 
+    /// Whether @p upstream is one of the candidates() of @p service.
+    bool isCandidate(upstream_index upstream, const std::string &service) const;
+
     /// Changes whenever candidates() may have changed.
     std::uint64_t generation() const { return m_generation; }
 
@@ -104,6 +107,7 @@
     upstream_index add(std::uint64_t id);
     void unlist(known_upstream &upstream, monotonic_time now);
     void remove(known_upstream &upstream, monotonic_time now);
+    bool takesNewFlows(const known_upstream &upstream) const;
     void rebuildCandidates();
     void invalidateCandidates();
 
--- a/src/cli/explain_command.cpp
+++ b/src/cli/explain_command.cpp
@@ -2,6 +2,7 @@
 
 #include "command_options.h"
 #include "figstair/cli/commands.h"
+#include "figstair/host/log_explanation.h"
 #include "log_input.h"
 
 namespace po = boost::program_options;
@@ -11,7 +12,8 @@
 
 constexpr std::int64_t defaultContextMs = 2000;
 
-/// Prints @p lines with times relative to the first one, and marks those of @p flow with "*".
+/// Prints @p lines with times relative to the first one. Those of @p flow are marked with "*" and
+/// explained.
 void printLines(const std::vector<const log_line *> &lines, const std::string &flow)
 {
     const std::int64_t start = lines.front()->timeMs;
@@ -27,6 +29,10 @@
             }
         }
         std::cout << "\n";
+        const std::string why = matchesFlow ? explanationOf(*line) : std::string();
+        if (!why.empty()) {
+            std::cout << "    why: " << why << "\n";
+        }
     }
 }
 
--- a/src/core/flow_opener.cpp
+++ b/src/core/flow_opener.cpp
@@ -44,6 +44,13 @@
     return std::to_string(value.count());
 }
 
+std::string oneDecimal(double value)
+{
+    std::string text = std::to_string(std::llround(value * 10));
+    text.insert(text.size() - 1, text.size() > 1 ? "." : "0.");
+    return text;
+}
+
 } // namespace
 
 double flow_opener::queueLimitOf(place_in_queue place, const admission_request &request)
@@ -271,7 +278,7 @@
                                 std::to_string(std::lround(m_admission.arrivalsPerSecond(
                                     service, leastUrgentPriority, now)))},
                                {"open", std::to_string(m_context.loads.ownOpenRequestsOf(service))},
-                               {"slots", std::to_string(m_shares.of(service, now).slots)},
+                               {"slots", oneDecimal(m_shares.of(service, now).slots)},
                                {"report_age_ms", toText(oldestReportAge())},
                                {"config", std::to_string(m_context.configVersion())}});
     if (isRefused) {
--- a/src/core/flow_placer.cpp
+++ b/src/core/flow_placer.cpp
@@ -163,17 +163,29 @@
     m_meanPeerRequestsPerSlot =
         m_candidates.empty() ? 0 : peerRequestsPerSlot / double(m_candidates.size());
     if (request.share != nullptr) {
-        for (const auto &[upstream, slots] : request.share->home) {
-            const std::uint16_t zone = m_directory.at(upstream).zone;
-            m_candidates.push_back(placement_candidate{
-                upstream, zone == ownZone,
-                m_roster.isZoneReachable(m_directory.zoneName(zone), now), slots});
-        }
+        collectHome(request, ownZone, now);
     }
     const auto reportCycleMs = static_cast<double>(m_roster.reportCycle(true).count());
     m_peerDifferenceWeight = std::min(1.0, double(request.expectedTime.count()) / reportCycleMs);
 }
 
+void flow_placer::collectHome(const placement_request &request, std::uint16_t ownZone,
+                              monotonic_time now)
+{
+    const auto &home = request.share->home;
+    const std::size_t first = home.empty() ? 0 : m_random() % home.size();
+    for (std::size_t step = 0; step < std::min(maxLocalCandidates, home.size()); ++step) {
+        const auto &[upstream, slots] = home[(first + step) % home.size()];
+        if (!m_directory.isCandidate(upstream, request.service)) {
+            continue;
+        }
+        const std::uint16_t zone = m_directory.at(upstream).zone;
+        m_candidates.push_back(
+            placement_candidate{upstream, zone == ownZone,
+                                m_roster.isZoneReachable(m_directory.zoneName(zone), now), slots});
+    }
+}
+
 placement_result flow_placer::choose(const placement_request &request, monotonic_time now)
 {
     m_best = best_choice{};
--- a/src/core/slot_shares.cpp
+++ b/src/core/slot_shares.cpp
@@ -7,10 +7,15 @@
 namespace figstair {
 namespace {
 
-/// Interval at which shares are recomputed, and the hosts that they depend on. The second grows
-/// with the fleet, so that its cost for each host stays small.
+/// Interval at which shares are recomputed, and the hosts that they depend on. Both grow with the
+/// number of upstreams and hosts that are looked through, so that this costs little at any size.
 constexpr milliseconds shareInterval{100};
-constexpr std::int64_t hostsPerMillisecond = 20;
+constexpr std::size_t itemsPerMillisecond = 50;
+
+milliseconds intervalFor(std::size_t items)
+{
+    return shareInterval + milliseconds(static_cast<std::int64_t>(items / itemsPerMillisecond));
+}
 
 /// A host's reported demand counts for this time. Later it is taken to have what this host has.
 constexpr milliseconds maxDemandAge{1500};
@@ -37,9 +42,10 @@
 
 double slot_share::homeSlots(upstream_index upstream) const
 {
-    const auto found = std::find_if(home.begin(), home.end(),
-                                    [&](const auto &part) { return part.first == upstream; });
-    return found == home.end() ? 0 : found->second;
+    const auto found =
+        std::lower_bound(home.begin(), home.end(), upstream,
+                         [](const auto &part, upstream_index key) { return part.first < key; });
+    return found == home.end() || found->first != upstream ? 0 : found->second;
 }
 
 slot_shares::slot_shares(upstream_directory &directory, const upstream_health &health,
@@ -53,9 +59,8 @@
 
 void slot_shares::updateHosts(monotonic_time now)
 {
-    const milliseconds interval =
-        shareInterval + milliseconds(std::int64_t(m_roster.peers().size()) / hostsPerMillisecond);
-    if (m_hostsUpdatedAt != monotonic_time{} && now - m_hostsUpdatedAt < interval) {
+    if (m_hostsUpdatedAt != monotonic_time{}
+        && now - m_hostsUpdatedAt < intervalFor(m_roster.peers().size())) {
         return;
     }
     m_hostsUpdatedAt = now;
@@ -94,12 +99,14 @@
 void slot_shares::updateOrder(const std::string &service, cached_share &cached)
 {
     cached.order.clear();
+    cached.upstreams = 0;
     for (std::size_t number = 0; number < m_directory.zoneCount(); ++number) {
         const auto zone = static_cast<std::uint16_t>(number);
         const auto listed = m_directory.candidates(service, zone);
         cached.order.emplace_back(m_directory.zoneName(zone),
                                   std::vector<upstream_index>(listed.begin(), listed.end()));
         std::vector<upstream_index> &upstreams = cached.order.back().second;
+        cached.upstreams += upstreams.size();
         std::sort(upstreams.begin(), upstreams.end(), [&](upstream_index a, upstream_index b) {
             return m_directory.at(a).entry.id < m_directory.at(b).entry.id;
         });
@@ -153,13 +160,11 @@
             return;
         }
         share.slots += slots;
-        for (auto &[known, part] : share.home) {
-            if (known == upstream) {
-                part += slots;
-                return;
-            }
+        if (!share.home.empty() && share.home.back().first == upstream) {
+            share.home.back().second += slots;
+        } else {
+            share.home.emplace_back(upstream, slots);
         }
-        share.home.emplace_back(upstream, slots);
     };
     const auto overlap = [](double first, double last, double from, double to) {
         return std::min(last, to) - std::max(first, from);
@@ -187,6 +192,7 @@
         }
         restPosition += zoneSlots[index] - usedHere;
     }
+    std::sort(share.home.begin(), share.home.end());
     return share;
 }
 
@@ -195,11 +201,10 @@
     updateHosts(now);
     const auto [entry, isNew] = m_shares.try_emplace(service);
     cached_share &cached = entry->second;
-    const bool isChanged = isNew || cached.orderGeneration != m_directory.generation();
-    if (!isChanged && now - cached.computedAt < shareInterval) {
+    if (!isNew && now - cached.computedAt < intervalFor(cached.upstreams)) {
         return cached.share;
     }
-    if (isChanged) {
+    if (isNew || cached.orderGeneration != m_directory.generation()) {
         updateOrder(service, cached);
     }
     cached.share = compute(cached, now);
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -249,13 +249,24 @@
     }
 }
 
+bool upstream_directory::takesNewFlows(const known_upstream &upstream) const
+{
+    return upstream.isListed && !upstream.entry.isDraining && !upstream.isTagShared
+        && !isEvacuated(upstream.zone);
+}
+
+bool upstream_directory::isCandidate(upstream_index upstream, const std::string &service) const
+{
+    return upstream < m_upstreams.size() && takesNewFlows(m_upstreams[upstream])
+        && m_upstreams[upstream].entry.service == service;
+}
+
 void upstream_directory::rebuildCandidates()
 {
     m_candidates.clear();
     for (const auto &[id, index] : m_byId) {
         const known_upstream &upstream = m_upstreams[index];
-        if (!upstream.isListed || upstream.entry.isDraining || upstream.isTagShared
-            || isEvacuated(upstream.zone)) {
+        if (!takesNewFlows(upstream)) {
             continue;
         }
         zone_lists &lists = m_candidates[upstream.entry.service];
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -467,3 +467,52 @@
     receiveSyn(2);
     CHECK(output.sent.size() == 1);
 }
+
+TEST_CASE_FIXTURE(settled_host, "entry_core: a SYN is not answered: other hosts hear of it at once")
+{
+    REQUIRE(core.takeDueReport());
+    const monotonic_time regular = core.nextReport();
+    receiveSyn(1);
+    clock.advance(milliseconds(40));
+    core.tick();
+    REQUIRE(std::count(output.events.begin(), output.events.end(), "upstream_silent") == 1);
+    CHECK(core.nextReport() < regular);
+    CHECK(core.nextReport() <= clock.monotonic());
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: the rotation changes, a flow falls silent: its request "
+                  "is no longer counted, since it continues through another host")
+{
+    const std::uint64_t upstream = establishFlow(1);
+    const upstream_index index = core.directory().findTag(upstreamTag(upstream));
+    peer_report report;
+    report.sender = host_record{"h2", "here", {}, 1};
+    core.onPeerReport(report);
+    REQUIRE(core.loads().openRequests(index) == 1);
+    advanceTime(300);
+    CHECK(core.loads().openRequests(index) == 0);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: a host has used its share of slots, reports show others "
+                  "that are free: it uses those only")
+{
+    // Another host, of which half of the slots are, and which uses none of them.
+    peer_report report;
+    report.sender = host_record{"h2", "here", {}, 1};
+    core.onPeerReport(report);
+    for (int step = 0; step < 20; ++step) {
+        advanceTime(100);
+        core.onPeerReport(report);
+    }
+    for (std::uint16_t port = 1; port <= 60; ++port) {
+        receiveSyn(port);
+    }
+    // Four of the eight slots are its own, with up to 1.75 requests each; the others get one each.
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        const unsigned open = core.loads().openRequests(core.directory().findTag(upstreamTag(id)));
+        CHECK(open >= 2);
+    }
+    CHECK(output.sent.size() <= 11);
+}
--- a/tests/core/flow_placer_test.cpp
+++ b/tests/core/flow_placer_test.cpp
@@ -110,6 +110,22 @@
           == placement_outcome::noneUsable);
 }
 
+TEST_CASE_FIXTURE(two_zones,
+                  "flow_placer: no host of a zone is heard any more: its upstreams get "
+                  "flows only when the own zone has no room")
+{
+    roster.onHostMessage(host_record{"h2", "there", {}, 1}, false, now);
+    now += milliseconds(2000);
+    roster.advance(now);
+    for (const std::uint64_t id : {1U, 2U, 3U}) {
+        addOpenRequests(id, 3);
+    }
+    for (int step = 0; step < 20; ++step) {
+        CHECK(idOf(choose(2.5).upstream) <= 3);
+    }
+    CHECK(idOf(choose(1.5).upstream) > 3);
+}
+
 TEST_CASE_FIXTURE(two_zones, "flow_placer: all upstreams ejected: saturated, since they may return")
 {
     for (std::uint64_t id = 1; id <= 6; ++id) {
@@ -239,3 +255,94 @@
         CHECK_FALSE(directory.at(result.upstream).isTagShared);
     }
 }
+
+namespace {
+
+/// A host whose share of the service is the upstreams 1 and 2, of its zone.
+struct divided_slots : two_zones
+{
+    divided_slots()
+    {
+        share.home = {{indexOf(1), 2}, {indexOf(2), 2}};
+        share.slots = 4;
+        share.serviceSlots = 12;
+    }
+
+    placement_result chooseShared(double queueLimit = 2.0, double ownUtilization = 0)
+    {
+        placement_request request{service, 2, queueLimit, noUpstream};
+        request.share = &share;
+        request.ownUtilization = ownUtilization;
+        return placer.choose(request, now);
+    }
+
+    slot_share share;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(divided_slots, "flow_placer: slots are divided: the host's own are used first")
+{
+    for (int step = 0; step < 4; ++step) {
+        const placement_result result = chooseShared();
+        CHECK(idOf(result.upstream) <= 2);
+        loads.addOpenRequest(result.upstream);
+    }
+}
+
+TEST_CASE_FIXTURE(divided_slots,
+                  "flow_placer: the host's own slots are full: others that seem free "
+                  "are used, those with requests of other hosts are not")
+{
+    addOpenRequests(1, 2);
+    addOpenRequests(2, 2);
+    CHECK(idOf(chooseShared().upstream) > 2);
+    std::vector<load_row> rows;
+    for (std::uint64_t id = 3; id <= 6; ++id) {
+        rows.push_back(load_row{upstreamTag(id), 2, 0, false});
+    }
+    loads.setReport("h2", rows, now);
+    CHECK(idOf(chooseShared().upstream) <= 2);
+    CHECK(chooseShared(1.0).outcome == placement_outcome::saturated);
+}
+
+TEST_CASE_FIXTURE(divided_slots,
+                  "flow_placer: an upstream of the host's share drains or its zone is "
+                  "evacuated: it gets no flow")
+{
+    upstream_record entry;
+    entry.id = 1;
+    entry.service = service;
+    entry.zone = "here";
+    entry.slots = 2;
+    entry.isDraining = true;
+    directory.apply(changeOf(entry, ++revision), now, milliseconds(0));
+    for (int step = 0; step < 20; ++step) {
+        CHECK(idOf(chooseShared().upstream) != 1);
+    }
+    record_change evacuated;
+    evacuated.kind = record_kind::evacuation;
+    evacuated.name = "here";
+    evacuated.revision = ++revision;
+    evacuated.content = zone_evacuation{};
+    directory.apply(evacuated, now, milliseconds(0));
+    for (int step = 0; step < 20; ++step) {
+        CHECK(idOf(chooseShared().upstream) > 3);
+    }
+}
+
+TEST_CASE_FIXTURE(divided_slots,
+                  "flow_placer: an upstream of the host's share belongs to another "
+                  "service now: it gets no flow")
+{
+    upstream_record entry;
+    entry.id = 1;
+    entry.service = "other";
+    entry.zone = "here";
+    entry.slots = 2;
+    entry.startedAtMs = 5;
+    directory.apply(changeOf(entry, ++revision), now, milliseconds(0));
+    for (int step = 0; step < 20; ++step) {
+        CHECK(idOf(chooseShared().upstream) != 1);
+    }
+}
--- a/tests/entry/entry_world.cpp
+++ b/tests/entry/entry_world.cpp
@@ -111,6 +111,7 @@
     unsigned zone = 0;
     std::size_t kind = 0; ///< index of its request_class
     bool isGreedy = false;
+    milliseconds work{0};
     std::uint32_t caller = 0;
     monotonic_time sentAt{};
     unsigned tries = 0;
@@ -348,7 +349,11 @@
         rest -= m_plan.classes[next->kind].share;
         ++next->kind;
     }
+    const milliseconds meanWork = m_plan.classes[next->kind].workTime;
+    next->work = milliseconds(
+        static_cast<std::int64_t>(double(meanWork.count()) * (0.5 + uniform(m_random))));
     next->sentAt = m_clock.monotonic();
+    m_arrivals.push_back(world_arrival{sinceStart(), next->kind, next->work});
     request &added = *next;
     m_requests.push_back(std::move(next));
     second_result sent;
@@ -524,6 +529,14 @@
     });
 }
 
+milliseconds entry_world::workOf(const flow_id &flow) const
+{
+    const auto found = m_attempts.find({flow.callerAddress, flow.callerPort});
+    return found != m_attempts.end()
+        ? found->second->owner->work
+        : m_plan.classes[static_cast<std::size_t>(flow.routePort - routePort)].workTime;
+}
+
 void entry_world::startWork(std::size_t index)
 {
     upstream &upstreamState = *m_upstreams[index];
@@ -532,11 +545,7 @@
         upstreamState.waiting.pop_front();
         ++upstreamState.busy;
         ++upstreamState.startedBySecond[static_cast<std::size_t>(sinceStart().count() / 1000)];
-        std::uniform_real_distribution<double> spread(0.5, 1.5);
-        const request_class &kind =
-            m_plan.classes[static_cast<std::size_t>(flow.routePort - routePort)];
-        const double time =
-            static_cast<double>(kind.workTime.count()) * spread(m_random) * upstreamState.slowdown;
+        const double time = double(workOf(flow).count()) * upstreamState.slowdown;
         after(milliseconds(static_cast<std::int64_t>(time)),
               [this, index, flow, incarnation = upstreamState.incarnation] {
                   upstream &done = *m_upstreams[index];
@@ -590,6 +599,7 @@
         outcome.failed = 1;
     } else if (time <= m_plan.classes[requestState.kind].latencyTarget) {
         outcome.inTarget = 1;
+        outcome.usefulWork = requestState.work;
     } else {
         outcome.late = 1;
     }
@@ -749,6 +759,7 @@
     inTarget += other.inTarget;
     late += other.late;
     failed += other.failed;
+    usefulWork += other.usefulWork;
     refusedTries += other.refusedTries;
     timedOutTries += other.timedOutTries;
 }
@@ -781,6 +792,11 @@
     return sumOf(m_greedySeconds, first, last);
 }
 
+milliseconds entry_world::usefulWork(std::size_t first, std::size_t last) const
+{
+    return sum(first, last).usefulWork;
+}
+
 std::size_t entry_world::refusalsAfter(milliseconds time) const
 {
     return static_cast<std::size_t>(
--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -65,12 +65,21 @@
     unsigned inTarget = 0;
     unsigned late = 0;
     unsigned failed = 0;
+    milliseconds usefulWork{0}; ///< of those in target
     unsigned refusedTries = 0; ///< ended by a reset of a host
     unsigned timedOutTries = 0; ///< ended without any answer
 
     void add(const second_result &other);
 };
 
+/// A request as its caller first sent it.
+struct world_arrival
+{
+    milliseconds at{0}; ///< after the start of traffic
+    std::size_t kind = 0; ///< index of its request_class
+    milliseconds work{0}; ///< time that it occupies a slot of an upstream that is not slow
+};
+
 /// Simulation of routers, upstreams and callers around the real entry_core of each host. Like the
 /// platform's routers, the simulated ones distribute packets by a flow hash over the hosts that
 /// pass readiness checks.
@@ -109,6 +118,9 @@
     /// Outcomes of requests, by the second in which they were first sent.
     const std::vector<second_result> &seconds() const { return m_seconds; }
 
+    /// All requests, in the order in which they were sent.
+    const std::vector<world_arrival> &arrivals() const { return m_arrivals; }
+
     /// Number of requests whose processing @p upstream started in @p second.
     unsigned requestsStarted(std::size_t upstream, std::size_t second) const;
 
@@ -128,6 +140,10 @@
     second_result sumOfClass(std::size_t number, std::size_t first, std::size_t last) const;
     second_result sumOfGreedy(std::size_t first, std::size_t last) const;
 
+    /// Sum of the work of the requests sent in the seconds [@p first, @p last) that were answered
+    /// within their target.
+    milliseconds usefulWork(std::size_t first, std::size_t last) const;
+
     /// Number of tries that a host refused later than @p time after the caller's SYN.
     std::size_t refusalsAfter(milliseconds time) const;
 
@@ -142,6 +158,8 @@
     struct upstream;
     struct request;
     struct attempt;
+    /// Time that the request of @p flow occupies a slot.
+    milliseconds workOf(const flow_id &flow) const;
     struct event
     {
         monotonic_time when;
@@ -191,6 +209,7 @@
     std::vector<std::unique_ptr<request>> m_requests;
     std::map<std::pair<std::uint32_t, std::uint16_t>, attempt *> m_attempts;
     std::vector<std::unique_ptr<attempt>> m_allAttempts;
+    std::vector<world_arrival> m_arrivals;
     std::vector<second_result> m_seconds;
     std::vector<std::vector<second_result>> m_classSeconds; ///< by class
     std::vector<second_result> m_greedySeconds;
--- a/tests/entry/overload_test.cpp
+++ b/tests/entry/overload_test.cpp
@@ -71,11 +71,7 @@
     double usefulShare(const world_plan &plan, std::size_t first, std::size_t last,
                        std::size_t upstreams) const
     {
-        double work = 0;
-        for (std::size_t kind = 0; kind < plan.classes.size(); ++kind) {
-            work += double(world.sumOfClass(kind, first, last).inTarget)
-                * double(plan.classes[kind].workTime.count());
-        }
+        const auto work = double(world.usefulWork(first, last).count());
         return work / (double(plan.slots * upstreams) * 1000 * double(last - first));
     }
     double usefulShare(const world_plan &plan) const
--- a/tests/host/log_reader_test.cpp
+++ b/tests/host/log_reader_test.cpp
@@ -21,8 +21,8 @@
 time_ms=4000 event=flow_placed host=h1 flow=10.0.0.2:200>198.18.0.1:443 upstream=0a reason=least_load open=0 config=4
 time_ms=4200 event=upstream_silent host=h1 flow=10.0.0.9:900>198.18.0.1:443 upstream=0a evidence=request_repeated state=ejected
 time_ms=4300 event=upstream_gone host=h1 upstream=0a removed=1 revision=9
-time_ms=5000 event=flow_held host=h2 flow=10.0.0.3:300>198.18.0.1:443 held=3 most_ms=100
-time_ms=5100 event=flow_dropped host=h2 flow=10.0.0.3:300>198.18.0.1:443 reason=held_too_long held_ms=100
+time_ms=5000 event=flow_held host=h2 flow=10.0.0.3:300>198.18.0.1:443 service=desk late=1 extended=1 age_ms=200 held=3 predicted_ms=40 most_ms=1050
+time_ms=5100 event=flow_dropped host=h2 flow=10.0.0.3:300>198.18.0.1:443 reason=held_too_long service=desk age_ms=1250 open=9 slots=4.0
 time_ms=5050 event=store_lost host=h2 call=watch reason=unreachable problem="timed \"out\""
 time_ms=x event=broken host=h1
 )");
