Move refusals out of flow_opener, and count those beside a free slot

Change: flow_refuser decides between reset and silence and logs either. flow_placer says whether an upstream that it passed over had a free slot by the latest reports; flows_refused_with_free_slot and free_slot= tell it.

--- a/include/figstair/core/entry_output.h
+++ b/include/figstair/core/entry_output.h
@@ -27,6 +27,8 @@
     flowsReset, ///< refused or ended for lack of a route
     flowsRefused, ///< refused because upstreams were saturated, or there was none
     flowsDropped, ///< as flowsRefused, but without a reset, since an upstream might open them
+    /// Refused or dropped although an upstream had a free slot by the latest reports.
+    flowsRefusedWithFreeSlot,
     trialsSent,
     coldFlowsSent,
     ejections,
--- a/include/figstair/core/flow_opener.h
+++ b/include/figstair/core/flow_opener.h
@@ -8,17 +8,14 @@
 #include "figstair/core/flow_admission.h"
 #include "figstair/core/flow_context.h"
 #include "figstair/core/flow_placer.h"
+#include "figstair/core/flow_refuser.h"
 #include "figstair/core/held_flows.h"
 #include "figstair/core/silence_watch.h"
 
 namespace figstair {
 
 /// Opens new flows: sends each SYN to the upstream that flow_placer chooses, or holds or refuses it
-/// as flow_admission decides.
-///
-/// A flow is refused by a reset only if no upstream can open it any more: this host saw every SYN
-/// that the caller has sent for it, and forwarded none. A refused request has therefore not run.
-/// Other flows that cannot be served are dropped without a word.
+/// as flow_admission decides. Flows are refused through flow_refuser.
 class flow_opener
 {
 public:
@@ -55,8 +52,8 @@
         monotonic_time updatedAt{};
     };
 
-    placement_outcome tryPlace(const flow_id &flow, flow_record &record, const route &route,
-                               byte_view bytes, place_in_queue place);
+    placement_result tryPlace(const flow_id &flow, flow_record &record, const route &route,
+                              byte_view bytes, place_in_queue place);
     static double queueLimitOf(place_in_queue place, const admission_request &request);
     admission_request requestFor(const flow_id &flow, const flow_record &record, const route &route,
                                  const std::string &service) const;
@@ -65,10 +62,8 @@
                  const admission_verdict &verdict, std::vector<std::uint8_t> bytes);
     void forward(const flow_id &flow, flow_record &record, byte_view bytes,
                  const placement_result &choice);
-    void refuseOrDrop(const flow_id &flow, flow_record &record, const char *reason,
-                      const admission_verdict &verdict);
-    void refuseWithoutRoute(const flow_id &flow);
-    bool mayBeRefused(const flow_record &record) const;
+    void refuseOrDrop(const flow_id &flow, flow_record &record, std::string_view reason,
+                      const admission_verdict &verdict, bool hasFreeSlot = false);
     bool exceedsCallerShare(const flow_id &flow, const admission_request &request);
     void placeHeld(const std::string &service);
     void reconsiderExpired();
@@ -77,11 +72,11 @@
                                std::uint32_t caller);
     double requestsPerSecond(const admission_request &request);
     double updateUtilization(const std::string &service, const slot_share &share);
-    milliseconds oldestReportAge() const;
     unsigned coldFlowsPerSecond(const std::string &service) const;
 
     const flow_context &m_context;
     silence_watch &m_silence;
+    flow_refuser m_refuser;
     slot_shares m_shares;
     flow_placer m_placer;
     flow_admission m_admission;
--- a/include/figstair/core/flow_placer.h
+++ b/include/figstair/core/flow_placer.h
@@ -44,6 +44,9 @@
     /// For a placed flow entry_core logs the text and selects counters by it: trialsSent for
     /// "trial", coldFlowsSent for "cold_allowance".
     std::string_view reason;
+    /// If saturated: one of the upstreams had a free slot by this host's count and the latest
+    /// reports, but is expected to be full by now.
+    bool hasFreeSlot = false;
 };
 
 /// Chooses the upstream of a new flow: the one with the shortest expected time until the flow is
@@ -98,6 +101,7 @@
     best_choice m_best;
     best_choice m_bestCold;
     bool m_hasCandidates = false;
+    bool m_hasFreeSlot = false; ///< placement_result::hasFreeSlot
     std::vector<placement_candidate> m_candidates;
     double m_meanPeerRequestsPerSlot = 0; ///< over m_candidates
     double m_peerDifferenceWeight = 1; ///< of differences between peer-reported loads; 0 to 1
--- a/src/core/entry_output.cpp
+++ b/src/core/entry_output.cpp
@@ -22,6 +22,7 @@
     "flows_reset",
     "flows_refused",
     "flows_dropped",
+    "flows_refused_with_free_slot",
     "trials_sent",
     "cold_flows_sent",
     "ejections",
--- a/src/core/flow_opener.cpp
+++ b/src/core/flow_opener.cpp
@@ -1,7 +1,6 @@
 #include "figstair/core/flow_opener.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 #include "figstair/core/hex_text.h"
@@ -25,32 +24,11 @@
 constexpr double utilizationTimeMs = 500.0;
 constexpr double minSharedSlots = 0.25;
 
-/// When callers retransmit a SYN, after the first one. A caller that has not been answered this
-/// long after the next retransmission may have sent it to another host.
-constexpr std::array<milliseconds, 3> openingSchedule{milliseconds(0), milliseconds(200),
-                                                      milliseconds(600)};
-
-/// Longest difference between the times that two SYNs of a flow take from the caller to a host.
-constexpr milliseconds maxPathVariation{20};
-
-/// Bit in flow_record::openingsSeen, and age, of a SYN with retransmission count @p count.
-std::size_t scheduleIndex(std::uint32_t count)
-{
-    return std::min<std::size_t>(count, openingSchedule.size() - 1);
-}
-
 std::string toText(milliseconds value)
 {
     return std::to_string(value.count());
 }
 
-std::string oneDecimal(double value)
-{
-    std::string text = std::to_string(std::llround(value * 10));
-    text.insert(text.size() - 1, text.size() > 1 ? "." : "0.");
-    return text;
-}
-
 } // namespace
 
 double flow_opener::queueLimitOf(place_in_queue place, const admission_request &request)
@@ -69,6 +47,7 @@
 flow_opener::flow_opener(const flow_context &context, silence_watch &silence, std::uint64_t seed)
     : m_context(context)
     , m_silence(silence)
+    , m_refuser(context)
     , m_shares(context.directory, context.health, context.roster)
     , m_placer(context.directory, context.loads, context.health, context.roster, seed)
     , m_held(heldFlowsPerRank)
@@ -80,7 +59,7 @@
 {
     const route *route = m_context.routes.find(packet.flow);
     if (route == nullptr) {
-        refuseWithoutRoute(packet.flow);
+        m_refuser.refuseWithoutRoute(packet.flow);
         return;
     }
     const monotonic_time now = m_context.clock.monotonic();
@@ -91,11 +70,11 @@
         existing = nullptr;
     }
     // The acknowledgement number of a SYN holds its retransmission count.
-    const std::size_t count = scheduleIndex(packet.acknowledged);
+    const std::size_t count = flow_refuser::scheduleIndex(packet.acknowledged);
     flow_record &record = existing != nullptr ? *existing : m_context.insertFlow(packet.flow);
     if (existing == nullptr) {
         record.openingSequence = packet.sequence;
-        record.firstOpeningAt = now - openingSchedule[count];
+        record.firstOpeningAt = now - flow_refuser::ageAtOpening(count);
         if (count == 0) {
             const std::string &service = m_context.routes.serviceFor(*route, packet.flow);
             m_shares.onArrival(now);
@@ -127,7 +106,7 @@
     record->wasRetried = true;
     record->previousUpstream = record->upstream;
     // The flow was sent to an upstream that does not answer, and has waited for that.
-    if (tryPlace(opening.flow, *record, *route, opening.packet, place_in_queue::first)
+    if (tryPlace(opening.flow, *record, *route, opening.packet, place_in_queue::first).outcome
         == placement_outcome::placed) {
         m_context.output.count(entry_counter::flowsRepeated, 1);
     }
@@ -145,8 +124,8 @@
                              m_context.serviceTimes.handshakeTime()};
 }
 
-placement_outcome flow_opener::tryPlace(const flow_id &flow, flow_record &record,
-                                        const route &route, byte_view bytes, place_in_queue place)
+placement_result flow_opener::tryPlace(const flow_id &flow, flow_record &record, const route &route,
+                                       byte_view bytes, place_in_queue place)
 {
     const std::string &service = m_context.routes.serviceFor(route, flow);
     const admission_request request = requestFor(flow, record, route, service);
@@ -168,7 +147,7 @@
     if (choice.outcome == placement_outcome::placed) {
         forward(flow, record, bytes, choice);
     }
-    return choice.outcome;
+    return choice;
 }
 
 void flow_opener::admit(const flow_id &flow, flow_record &record, const route &route,
@@ -178,27 +157,29 @@
     const admission_request request = requestFor(flow, record, route, service);
     const held_rank rank{!flow_admission::canMeetTarget(request), route.priority};
     const bool isOverShare = exceedsCallerShare(flow, request);
+    bool hasFreeSlot = false;
     if (!m_held.hasRankOrBefore(service, rank)) {
-        const placement_outcome outcome =
+        const placement_result result =
             tryPlace(flow, record, route, bytes,
                      isOverShare ? place_in_queue::last : place_in_queue::regular);
-        if (outcome == placement_outcome::placed) {
+        if (result.outcome == placement_outcome::placed) {
             return;
         }
-        if (outcome == placement_outcome::noneUsable) {
+        hasFreeSlot = result.hasFreeSlot;
+        if (result.outcome == placement_outcome::noneUsable) {
             refuseOrDrop(flow, record, "no_upstream", admission_verdict{});
             return;
         }
     }
     if (isOverShare) {
-        refuseOrDrop(flow, record, "caller_over_share", admission_verdict{});
+        refuseOrDrop(flow, record, "caller_over_share", admission_verdict{}, hasFreeSlot);
         return;
     }
     const service_backlog backlog = backlogFor(request, rank, flow.callerAddress);
     const admission_verdict verdict =
         m_admission.decide(request, backlog, m_context.clock.monotonic());
     if (verdict.outcome == admission_outcome::refuse) {
-        refuseOrDrop(flow, record, "overloaded", verdict);
+        refuseOrDrop(flow, record, "overloaded", verdict, hasFreeSlot);
     } else {
         enqueue(flow, record, request, verdict, {bytes.begin(), bytes.end()});
     }
@@ -238,55 +219,17 @@
     }
 }
 
-/// Whether no upstream can open the flow any more, so that a reset tells the caller the truth.
-/// Every SYN that the caller has sent so far must have come to this host, and none been forwarded.
-/// The next one may be on its way to another host.
-bool flow_opener::mayBeRefused(const flow_record &record) const
-{
-    if (record.wasForwarded) {
-        return false;
-    }
-    const milliseconds age = m_context.clock.monotonic() - record.firstOpeningAt;
-    for (std::size_t count = 0; count < openingSchedule.size(); ++count) {
-        const bool mayHaveBeenSent = age + maxPathVariation >= openingSchedule[count];
-        if (mayHaveBeenSent && (record.openingsSeen >> count & 1U) == 0) {
-            return false;
-        }
-    }
-    return true;
-}
-
-void flow_opener::refuseOrDrop(const flow_id &flow, flow_record &record, const char *reason,
-                               const admission_verdict &verdict)
+void flow_opener::refuseOrDrop(const flow_id &flow, flow_record &record, std::string_view reason,
+                               const admission_verdict &verdict, bool hasFreeSlot)
 {
-    const bool isRefused = mayBeRefused(record);
-    const std::string service = [&] {
-        const route *route = m_context.routes.find(flow);
-        return route == nullptr ? std::string() : m_context.routes.serviceFor(*route, flow);
-    }();
+    const route *route = m_context.routes.find(flow);
+    const std::string service =
+        route == nullptr ? std::string() : m_context.routes.serviceFor(*route, flow);
     const monotonic_time now = m_context.clock.monotonic();
-    m_context.output.count(isRefused ? entry_counter::flowsRefused : entry_counter::flowsDropped,
-                           1);
-    m_context.output.logEvent(isRefused ? "flow_refused" : "flow_dropped",
-                              {{"flow", toText(flow)},
-                               {"reason", reason},
-                               {"service", service},
-                               {"age_ms", toText(now - record.firstOpeningAt)},
-                               {"predicted_ms", toText(verdict.predictedWait)},
-                               {"most_ms", toText(verdict.maxWait)},
-                               {"arrivals_per_s",
-                                std::to_string(std::lround(m_admission.arrivalsPerSecond(
-                                    service, leastUrgentPriority, now)))},
-                               {"open", std::to_string(m_context.loads.ownOpenRequestsOf(service))},
-                               {"slots", oneDecimal(m_shares.of(service, now).slots)},
-                               {"report_age_ms", toText(oldestReportAge())},
-                               {"config", std::to_string(m_context.configVersion())}});
-    if (isRefused) {
-        m_context.flows.erase(flow);
-        m_context.output.reset(flow, 0);
-    } else {
-        record.phase = record.wasForwarded ? flow_phase::opening : flow_phase::dropped;
-    }
+    m_refuser.refuseOrDrop(flow, record,
+                           refusal{reason, service, verdict,
+                                   m_admission.arrivalsPerSecond(service, leastUrgentPriority, now),
+                                   m_shares.of(service, now).slots, hasFreeSlot});
 }
 
 bool flow_opener::exceedsCallerShare(const flow_id &flow, const admission_request &request)
@@ -296,18 +239,6 @@
     return probability < std::uniform_real_distribution<double>(0, 1)(m_random);
 }
 
-void flow_opener::refuseWithoutRoute(const flow_id &flow)
-{
-    m_context.flows.erase(flow);
-    m_context.output.count(entry_counter::packetsWithoutRoute, 1);
-    m_context.output.count(entry_counter::flowsReset, 1);
-    m_context.output.logEvent("flow_refused",
-                              {{"flow", toText(flow)},
-                               {"reason", "no_route"},
-                               {"config", std::to_string(m_context.configVersion())}});
-    m_context.output.reset(flow, 0);
-}
-
 void flow_opener::forward(const flow_id &flow, flow_record &record, byte_view bytes,
                           const placement_result &choice)
 {
@@ -380,11 +311,11 @@
             continue;
         }
         if (route == nullptr) {
-            refuseWithoutRoute(m_held.pop(service).flow);
+            m_refuser.refuseWithoutRoute(m_held.pop(service).flow);
             continue;
         }
         const placement_outcome outcome =
-            tryPlace(next->flow, *record, *route, next->packet, place_in_queue::regular);
+            tryPlace(next->flow, *record, *route, next->packet, place_in_queue::regular).outcome;
         if (outcome == placement_outcome::saturated) {
             return;
         }
@@ -412,7 +343,7 @@
         }
         m_context.output.count(entry_counter::flowsHeldTooLong, 1);
         if (route == nullptr) {
-            refuseWithoutRoute(item.flow);
+            m_refuser.refuseWithoutRoute(item.flow);
             continue;
         }
         const admission_request request = requestFor(item.flow, *record, *route, item.service);
@@ -438,7 +369,7 @@
     const auto isHopeless = [&](const held_flow &item) {
         const route *route = m_context.routes.find(item.flow);
         const flow_record *record = m_context.flows.find(item.flow);
-        if (route == nullptr || record == nullptr || !mayBeRefused(*record)) {
+        if (route == nullptr || record == nullptr || !m_refuser.mayBeRefused(*record)) {
             return false;
         }
         const admission_request request = requestFor(item.flow, *record, *route, service);
@@ -486,18 +417,6 @@
         std::lround(m_shares.newFlowsPerSecond(m_context.clock.monotonic())));
 }
 
-milliseconds flow_opener::oldestReportAge() const
-{
-    const monotonic_time now = m_context.clock.monotonic();
-    milliseconds age{0};
-    for (const auto &[name, peer] : m_context.roster.peers()) {
-        if (m_context.roster.isAlive(peer, now)) {
-            age = std::max(age, milliseconds(now - peer.lastHeardAt));
-        }
-    }
-    return age;
-}
-
 unsigned flow_opener::coldFlowsPerSecond(const std::string &service) const
 {
     const service_limits limits = m_context.routes.limitsOf(service);
--- a/src/core/flow_placer.cpp
+++ b/src/core/flow_placer.cpp
@@ -89,6 +89,7 @@
     const double requestsPerSlotWithFlow = requestsPerSlot + 1.0 / known.entry.slots;
     const double limit = isHome || !isShared ? request.queueLimit : request.otherShareLimit;
     if (requestsPerSlotWithFlow > std::max(limit, 1.0)) {
+        m_hasFreeSlot = m_hasFreeSlot || hasFreeSlot(upstream);
         return;
     }
     double cost = m_loads.slownessRatio(upstream, now) * std::max(1.0, requestsPerSlotWithFlow)
@@ -191,6 +192,7 @@
     m_best = best_choice{};
     m_bestCold = best_choice{};
     m_hasCandidates = false;
+    m_hasFreeSlot = false;
     collectCandidates(request, now);
     for (const placement_candidate &candidate : m_candidates) {
         evaluate(candidate, request, now);
@@ -208,7 +210,7 @@
         return {placement_outcome::placed, m_bestCold.upstream, "cold_allowance"};
     }
     return {m_hasCandidates ? placement_outcome::saturated : placement_outcome::noneUsable,
-            noUpstream, m_hasCandidates ? "all_full" : "none_usable"};
+            noUpstream, m_hasCandidates ? "all_full" : "none_usable", m_hasFreeSlot};
 }
 
 } // namespace figstair
--- a/tests/entry/entry_world.cpp
+++ b/tests/entry/entry_world.cpp
@@ -66,7 +66,10 @@
         });
     }
     void logEvent(std::string_view, event_fields) override { }
-    void count(entry_counter, std::uint64_t) override { }
+    void count(entry_counter which, std::uint64_t amount) override
+    {
+        world.m_counts[which] += amount;
+    }
     void observe(entry_distribution, milliseconds) override { }
 
     entry_world &world;
--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -153,6 +153,13 @@
     /// Number of flows that a host refused although its caller's SYN reached an upstream.
     unsigned falseRefusals() const { return m_falseRefusals; }
 
+    /// Sum of a counter over all hosts.
+    std::uint64_t countOf(entry_counter which) const
+    {
+        const auto found = m_counts.find(which);
+        return found == m_counts.end() ? 0 : found->second;
+    }
+
 private:
     struct host;
     struct upstream;
@@ -215,6 +222,7 @@
     std::vector<second_result> m_greedySeconds;
     std::vector<milliseconds> m_refusalTimes;
     unsigned m_falseRefusals = 0;
+    std::map<entry_counter, std::uint64_t> m_counts;
     double m_loadFactor = 1;
     std::vector<bool> m_cutZones;
     std::uint16_t m_nextPort = 1024;
--- a/tests/entry/overload_test.cpp
+++ b/tests/entry/overload_test.cpp
@@ -244,3 +244,16 @@
     played.run();
     CHECK(played.world.refusalsAfter(milliseconds(150)) <= 0.01 * played.during().refusedTries);
 }
+
+TEST_CASE(
+    "overload: bursts of 4 and 8 times the load: no flow is refused while an upstream is known "
+    "to have a free slot")
+{
+    for (const double factor : {4.0, 8.0}) {
+        CAPTURE(factor);
+        burst played(smallFleet(), factor);
+        played.run();
+        CHECK(played.world.countOf(entry_counter::flowsRefused) > 0);
+        CHECK(played.world.countOf(entry_counter::flowsRefusedWithFreeSlot) == 0);
+    }
+}
