Refuse messages between hosts that are nested too deeply

Cause: the CBOR decoder recurses once for each array around a value. A datagram of 49,151 array heads needs more than 1 MB of stack and ends a process whose stack is smaller. Messages of starting hosts are unsigned, so anybody who can reach the port could send it.

Measured: without it the new test ends with a segmentation fault on a stack of 1 MB; with it the message is refused. With 8 MB of stack the decoder returned before as well.

--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -3,6 +3,7 @@
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
 
+#include "figstair/wire/bounded_cbor.h"
 #include "figstair/wire/gossip_codec.h"
 
 namespace leaf = boost::leaf;
@@ -179,7 +180,7 @@
     return leaf::try_handle_some(
         [&]() -> leaf::result<peer_message> {
             try {
-                const json value = json::from_cbor(bytes.begin(), bytes.end() - peerMacBytes);
+                const json value = parseCbor(byteView.first(bytes.size() - peerMacBytes));
                 if (value.at(0).get<std::uint64_t>() != wireVersion) {
                     return fail("protocol version is not supported");
                 }
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -5,6 +5,8 @@
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
 
+#include "figstair/wire/bounded_cbor.h"
+
 namespace leaf = boost::leaf;
 using nlohmann::json;
 
@@ -405,7 +407,7 @@
     }
     const byte_view content = bytes.subspan(1);
     try {
-        return unsignedFrom(json::from_cbor(content.begin(), content.end()));
+        return unsignedFrom(parseCbor(content));
     } catch (const json::exception &error) {
         return leaf::new_error(entry_message_error{error.what()});
     }
@@ -428,7 +430,7 @@
     }
     const byte_view content = bytes.first(bytes.size() - peerMacBytes);
     try {
-        return messageFrom(json::from_cbor(content.begin(), content.end()));
+        return messageFrom(parseCbor(content));
     } catch (const json::exception &error) {
         return leaf::new_error(entry_message_error{error.what()});
     }
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -5,6 +5,8 @@
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
 
+#include "figstair/wire/bounded_cbor.h"
+
 namespace leaf = boost::leaf;
 using nlohmann::json;
 
@@ -89,7 +91,7 @@
 auto decodeWith(byte_view bytes, reader read) -> leaf::result<decltype(read(json()))>
 {
     try {
-        return read(json::from_cbor(bytes.begin(), bytes.end()));
+        return read(parseCbor(bytes));
     } catch (const json::exception &error) {
         return leaf::new_error(gossip_error{error.what()});
     }
--- /dev/null
+++ b/tests/wire/bounded_cbor_test.cpp
@@ -0,0 +1,66 @@
+#include "figstair/wire/bounded_cbor.h"
+
+#include <functional>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <pthread.h>
+
+#include "errors.h"
+#include "figstair/wire/entry_message.h"
+
+using namespace figstair;
+
+namespace {
+
+constexpr std::size_t smallStackBytes = 1 << 20;
+
+/// Runs @p action on a thread with a stack of smallStackBytes.
+void runOnSmallStack(std::function<void()> action)
+{
+    pthread_attr_t attributes{};
+    REQUIRE(pthread_attr_init(&attributes) == 0);
+    REQUIRE(pthread_attr_setstacksize(&attributes, smallStackBytes) == 0);
+    pthread_t thread{};
+    const auto entry = [](void *argument) -> void * {
+        (*static_cast<std::function<void()> *>(argument))();
+        return nullptr;
+    };
+    REQUIRE(pthread_create(&thread, &attributes, entry, &action) == 0);
+    pthread_join(thread, nullptr);
+    pthread_attr_destroy(&attributes);
+}
+
+/// CBOR of an array of one array of one array and so on, @p depth of them, the last one empty.
+byte_buffer nestedArrays(std::size_t depth)
+{
+    constexpr std::uint8_t arrayOfOne = 0x81;
+    constexpr std::uint8_t emptyArray = 0x80;
+    byte_buffer bytes(depth, arrayOfOne);
+    bytes.back() = emptyArray;
+    return bytes;
+}
+
+} // namespace
+
+TEST_CASE("bounded_cbor: levels up to the limit: decoded, one more: refused")
+{
+    CHECK(parseCbor(nestedArrays(maxCborDepth)).is_array());
+    CHECK_THROWS_AS(parseCbor(nestedArrays(maxCborDepth + 1)), nlohmann::json::exception);
+}
+
+TEST_CASE("bounded_cbor: truncated value: refused")
+{
+    const byte_buffer bytes{0x82, 0x01};
+    CHECK_THROWS_AS(parseCbor(bytes), nlohmann::json::exception);
+}
+
+TEST_CASE("entry_message: the longest message, all of it nesting: refused with a small stack")
+{
+    byte_buffer bytes = nestedArrays(maxEntryMessageBytes - 1);
+    bytes.insert(bytes.begin(), 0); // the prefix of unsigned messages
+    REQUIRE(isUnsigned(bytes));
+    bool isRefused = false;
+    runOnSmallStack([&] { isRefused = !succeeds([&] { return decodeUnsigned(bytes); }); });
+    CHECK(isRefused);
+}
