Match held flows with the SYN that was held

Cause: held flows were found again by addresses and ports only. When a caller reused the port of a held flow, the flow was held twice, and both entries had the record of the later one: the earlier SYN was forwarded in place of the later one, and if both were refused in one review, the second refusal used a record that the first had erased, which ended the process. Any caller could cause it while upstreams are full.

Change: each held flow has a number that its record must have too.

Measured: without it the two new tests fail, one with the SYN of the earlier flow forwarded, one with a segmentation fault; with it both pass.

--- a/include/figstair/core/flow_opener.h
+++ b/include/figstair/core/flow_opener.h
@@ -65,6 +65,9 @@
     void refuseOrDrop(const flow_id &flow, flow_record &record, std::string_view reason,
                       const admission_verdict &verdict, bool hasFreeSlot = false);
     bool exceedsCallerShare(const flow_id &flow, const admission_request &request);
+    /// The record of @p item, or nullptr if that flow is over, has opened through another host, or
+    /// its caller has reused its port.
+    flow_record *recordOf(const held_flow &item);
     void placeHeld(const std::string &service);
     void reconsiderExpired();
     void reviewExtended(const std::string &service);
@@ -81,6 +84,7 @@
     flow_placer m_placer;
     flow_admission m_admission;
     held_flows m_held;
+    std::uint32_t m_lastHoldNumber = 0;
     std::unordered_map<std::string, utilization> m_utilizations; ///< by service
     std::unordered_map<std::string, caller_shares> m_callerShares; ///< by service
     std::mt19937_64 m_random;
--- a/include/figstair/core/flow_table.h
+++ b/include/figstair/core/flow_table.h
@@ -44,6 +44,9 @@
     monotonic_time openingSentAt{}; ///< when the SYN was forwarded
     monotonic_time requestSentAt{}; ///< when the unanswered request was forwarded
     monotonic_time lastPacketAt{};
+    /// While held: held_flow::number of its entry. Entries with another one are of earlier flows
+    /// with the same addresses and ports.
+    std::uint32_t holdNumber = 0;
     float requestsPerSlot = 1.0F; ///< at the upstream when the flow was placed; at least 1
 };
 
--- a/include/figstair/core/held_flows.h
+++ b/include/figstair/core/held_flows.h
@@ -34,6 +34,7 @@
     std::string service;
     std::vector<std::uint8_t> packet;
     held_rank rank;
+    std::uint32_t number = 0; ///< differs from that of all other held flows
     bool isExtended = false; ///< held although it may wait long
     monotonic_time heldAt{};
     monotonic_time expiresAt{};
--- a/src/core/flow_opener.cpp
+++ b/src/core/flow_opener.cpp
@@ -200,6 +200,7 @@
         : verdict.maxWait;
     const held_rank rank{isLate, request.priority};
     record.phase = flow_phase::held;
+    record.holdNumber = ++m_lastHoldNumber;
     m_context.output.count(entry_counter::flowsHeld, 1);
     m_context.output.logEvent("flow_held",
                               {{"flow", toText(flow)},
@@ -210,10 +211,10 @@
                                {"held", std::to_string(m_held.size())},
                                {"predicted_ms", toText(verdict.predictedWait)},
                                {"most_ms", toText(maxWait)}});
-    const auto dropped = m_held.push(
-        held_flow{flow, request.service, std::move(bytes), rank, isExtended, now, now + maxWait});
+    const auto dropped = m_held.push(held_flow{flow, request.service, std::move(bytes), rank,
+                                               record.holdNumber, isExtended, now, now + maxWait});
     if (dropped) {
-        if (flow_record *droppedRecord = m_context.flows.find(dropped->flow)) {
+        if (flow_record *droppedRecord = recordOf(*dropped)) {
             refuseOrDrop(dropped->flow, *droppedRecord, "too_many_held", verdict);
         }
     }
@@ -296,6 +297,14 @@
     reconsiderExpired();
 }
 
+flow_record *flow_opener::recordOf(const held_flow &item)
+{
+    flow_record *record = m_context.flows.find(item.flow);
+    const bool isHeld =
+        record != nullptr && record->phase == flow_phase::held && record->holdNumber == item.number;
+    return isHeld ? record : nullptr;
+}
+
 void flow_opener::placeHeld(const std::string &service)
 {
     const monotonic_time now = m_context.clock.monotonic();
@@ -305,9 +314,9 @@
             return;
         }
         const route *route = m_context.routes.find(next->flow);
-        flow_record *record = m_context.flows.find(next->flow);
-        if (record == nullptr || record->phase != flow_phase::held) {
-            m_held.pop(service); // the flow has opened through another host
+        flow_record *record = recordOf(*next);
+        if (record == nullptr) {
+            m_held.pop(service);
             continue;
         }
         if (route == nullptr) {
@@ -337,8 +346,8 @@
     const monotonic_time now = m_context.clock.monotonic();
     for (held_flow &item : m_held.takeExpired(now)) {
         const route *route = m_context.routes.find(item.flow);
-        flow_record *record = m_context.flows.find(item.flow);
-        if (record == nullptr || record->phase != flow_phase::held) {
+        flow_record *record = recordOf(item);
+        if (record == nullptr) {
             continue;
         }
         m_context.output.count(entry_counter::flowsHeldTooLong, 1);
@@ -368,7 +377,7 @@
     std::size_t ahead = m_held.aheadOf(service, held_rank{false, leastUrgentPriority}, 0);
     const auto isHopeless = [&](const held_flow &item) {
         const route *route = m_context.routes.find(item.flow);
-        const flow_record *record = m_context.flows.find(item.flow);
+        const flow_record *record = recordOf(item);
         if (route == nullptr || record == nullptr || !m_refuser.mayBeRefused(*record)) {
             return false;
         }
@@ -379,8 +388,9 @@
             == admission_outcome::refuse;
     };
     for (const held_flow &item : m_held.takeExtendedIf(service, isHopeless)) {
-        refuseOrDrop(item.flow, *m_context.flows.find(item.flow), "overloaded",
-                     admission_verdict{});
+        if (flow_record *record = recordOf(item)) {
+            refuseOrDrop(item.flow, *record, "overloaded", admission_verdict{});
+        }
     }
 }
 
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -368,6 +368,60 @@
     CHECK(output.counterValue(entry_counter::flowsPlaced) == placed + 1);
 }
 
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: a caller reuses the port of a held flow: only its latest SYN is "
+                  "forwarded")
+{
+    constexpr std::uint8_t firstMark = 7;
+    constexpr std::uint8_t secondMark = 8;
+    std::uint16_t port = 0;
+    while (output.counterValue(entry_counter::flowsHeld) == 0) {
+        REQUIRE(port < 40);
+        flow_packet packet = packetOf(++port);
+        packet.isSyn = true;
+        receive(packet, firstMark);
+    }
+    const std::vector<recording_output::forwarded> placed = std::exchange(output.sent, {});
+    flow_packet reused = packetOf(port);
+    reused.isSyn = true;
+    reused.sequence = 9;
+    receive(reused, secondMark);
+    for (std::uint16_t ended = 1; ended < port; ++ended) {
+        flow_packet end = subsequentPacket(ended, placed[ended - 1].upstream);
+        end.isFin = true;
+        receive(end);
+    }
+    advanceTime(10);
+    const auto sentCount = [&](std::uint8_t mark) {
+        return std::count_if(output.sent.begin(), output.sent.end(),
+                             [&](const auto &entry) { return entry.mark == mark; });
+    };
+    CHECK(sentCount(firstMark) == 0);
+    CHECK(sentCount(secondMark) == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: ports of held flows are reused, no slot becomes free: each flow is "
+                  "ended once")
+{
+    for (std::uint32_t sequence = 1; sequence <= 20; ++sequence) {
+        for (std::uint16_t port = 1; port <= 50; ++port) {
+            flow_packet packet = packetOf(port);
+            packet.isSyn = true;
+            packet.sequence = sequence;
+            receive(packet);
+        }
+        advanceTime(20);
+    }
+    const std::uint64_t placed = output.counterValue(entry_counter::flowsPlaced);
+    advanceTime(5000);
+    const std::uint64_t ended = output.counterValue(entry_counter::flowsRefused)
+        + output.counterValue(entry_counter::flowsDropped);
+    CHECK(core.state().flowsHeld == 0);
+    CHECK(output.resets.size() == output.counterValue(entry_counter::flowsRefused));
+    CHECK(ended + placed <= 1000);
+}
+
 TEST_CASE_FIXTURE(settled_host, "entry_core: a retransmission of a held SYN: is not held twice")
 {
     for (std::uint16_t port = 1; port <= 40; ++port) {
--- a/tests/core/held_flows_test.cpp
+++ b/tests/core/held_flows_test.cpp
@@ -15,7 +15,7 @@
                    std::int64_t expiresAt = 100, const std::string &service = "desk")
 {
     return held_flow{
-        flow_id{caller, 1, port, 443}, service, {1}, rank, rank.isLate, ms(0), ms(expiresAt)};
+        flow_id{caller, 1, port, 443}, service, {1}, rank, 0, rank.isLate, ms(0), ms(expiresAt)};
 }
 
 constexpr held_rank urgent{false, 1};
