Refuse numbers in messages and records that are out of bounds

Cause: numbers of messages between hosts and of configurations were converted without a check, so a fraction of 4.5e22 in place of a revision, or a rate of 1e300, had an undefined result. The first was found by the fuzzers, the second by reading on.

Change: integers must be integers, counts are at most a million, durations at most 34 years, rates not negative.

Measured: the new checks fail without it.

--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -1,6 +1,7 @@
 #include "figstair/wire/entry_message.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
@@ -38,6 +39,40 @@
     throw json::other_error::create(jsonErrorId, problem, &value);
 }
 
+/// Bounds of numbers in messages. No host sends more; sums and products of values within them do
+/// not overflow.
+constexpr unsigned maxCount = 1'000'000;
+constexpr std::int64_t maxDurationMs = std::int64_t{1} << 40U; // 34 years
+constexpr std::int64_t maxUnixMs = std::int64_t{1} << 50U;
+
+/// Reads an integer between 0 and @p max.
+template <typename number>
+number integerFrom(const json &value, number max = std::numeric_limits<number>::max())
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > std::uint64_t(max)) {
+        throwDecodeError("value is not an integer within its bounds", value);
+    }
+    return value.get<number>();
+}
+
+unsigned countFrom(const json &value)
+{
+    return integerFrom<unsigned>(value, maxCount);
+}
+
+milliseconds durationFrom(const json &value)
+{
+    return milliseconds(integerFrom<std::int64_t>(value, maxDurationMs));
+}
+
+double rateFrom(const json &value)
+{
+    if (!value.is_number() || !(value.get<double>() >= 0 && value.get<double>() <= maxCount)) {
+        throwDecodeError("value is not a rate within its bounds", value);
+    }
+    return value.get<double>();
+}
+
 void appendBigEndian(std::vector<std::uint8_t> &bytes, std::uint64_t value, unsigned count)
 {
     for (unsigned index = count; index > 0; --index) {
@@ -108,8 +143,8 @@
 host_record hostFrom(const json &value)
 {
     return host_record{value.at(0).get<std::string>(), value.at(1).get<std::string>(),
-                       endpointFrom(value.at(2)), value.at(3).get<std::uint64_t>(),
-                       value.at(4).get<unsigned>()};
+                       endpointFrom(value.at(2)), integerFrom<std::uint64_t>(value.at(3)),
+                       countFrom(value.at(4))};
 }
 
 json toJson(const route_config &config)
@@ -136,27 +171,27 @@
 route_config configFrom(const json &value)
 {
     route_config config;
-    config.version = value.at(0).get<std::uint64_t>();
+    config.version = integerFrom<std::uint64_t>(value.at(0));
     for (const json &item : value.at(1)) {
         route entry;
         entry.name = item.at(0).get<std::string>();
-        entry.address = item.at(1).get<std::uint32_t>();
-        entry.port = item.at(2).get<std::uint16_t>();
+        entry.address = integerFrom<std::uint32_t>(item.at(1));
+        entry.port = integerFrom<std::uint16_t>(item.at(2));
         for (const json &choice : item.at(3)) {
             entry.services.push_back(
-                weighted_service{choice.at(0).get<std::string>(), choice.at(1).get<unsigned>()});
+                weighted_service{choice.at(0).get<std::string>(), countFrom(choice.at(1))});
         }
-        entry.timeout = milliseconds(item.at(4).get<std::int64_t>());
-        entry.latencyTarget = milliseconds(item.at(5).get<std::int64_t>());
-        entry.priority = item.at(6).get<unsigned>();
+        entry.timeout = durationFrom(item.at(4));
+        entry.latencyTarget = durationFrom(item.at(5));
+        entry.priority = countFrom(item.at(6));
         config.routes.push_back(std::move(entry));
     }
     for (const json &item : value.at(2)) {
-        config.services.push_back(
-            service_limits{item.at(0).get<std::string>(), item.at(1).get<unsigned>(),
-                           milliseconds(item.at(2).get<std::int64_t>()), item.at(3).get<double>()});
+        config.services.push_back(service_limits{item.at(0).get<std::string>(),
+                                                 countFrom(item.at(1)), durationFrom(item.at(2)),
+                                                 rateFrom(item.at(3))});
     }
-    config.idleTimeout = milliseconds(value.at(3).get<std::int64_t>());
+    config.idleTimeout = durationFrom(value.at(3));
     return config;
 }
 
@@ -173,10 +208,10 @@
     entry.address = endpointFrom(value.at(0));
     entry.service = value.at(1).get<std::string>();
     entry.zone = value.at(2).get<std::string>();
-    entry.slots = std::max(1U, value.at(3).get<unsigned>());
+    entry.slots = std::max(1U, countFrom(value.at(3)));
     entry.isDraining = value.at(4).get<bool>();
-    entry.coldFor = milliseconds(value.at(5).get<std::int64_t>());
-    entry.startedAtMs = value.at(6).get<std::int64_t>();
+    entry.coldFor = durationFrom(value.at(5));
+    entry.startedAtMs = integerFrom<std::int64_t>(value.at(6), maxUnixMs);
     return entry;
 }
 
@@ -222,16 +257,16 @@
 record_change changeFrom(const json &value)
 {
     record_change change;
-    const auto kind = value.at(0).get<unsigned>();
+    const auto kind = countFrom(value.at(0));
     if (kind > static_cast<unsigned>(record_kind::key)) {
         throwDecodeError("record kind is unknown", value);
     }
     change.kind = static_cast<record_kind>(kind);
     change.name = value.at(1).get<std::string>();
-    change.upstreamId = value.at(2).get<std::uint64_t>();
-    change.revision = value.at(3).get<std::uint64_t>();
+    change.upstreamId = integerFrom<std::uint64_t>(value.at(2));
+    change.revision = integerFrom<std::uint64_t>(value.at(3));
     const json &content = value.at(5);
-    switch (value.at(4).get<std::size_t>()) {
+    switch (integerFrom<std::size_t>(value.at(4))) {
     case 0:
         change.content = record_change::removed{};
         break;
@@ -254,8 +289,9 @@
         change.content = shared_key{keyFrom(content)};
         break;
     case 7:
-        change.content = config_patch{content.at(0).get<std::uint64_t>(), configFrom(content.at(1)),
-                                      content.at(2).get<std::vector<std::string>>()};
+        change.content =
+            config_patch{integerFrom<std::uint64_t>(content.at(0)), configFrom(content.at(1)),
+                         content.at(2).get<std::vector<std::string>>()};
         break;
     default:
         throwDecodeError("record content type is unknown", value);
@@ -296,13 +332,13 @@
 
 unsigned_message unsignedFrom(const json &value)
 {
-    switch (value.at(0).get<std::uint64_t>()) {
+    switch (integerFrom<std::uint64_t>(value.at(0))) {
     case requestKind:
-        return view_request{value.at(1).get<std::uint64_t>(), value.at(2).get<std::string>()};
+        return view_request{integerFrom<std::uint64_t>(value.at(1)),
+                            value.at(2).get<std::string>()};
     case snapshotKind:
-        return view_snapshot{value.at(1).get<std::uint64_t>(), keyFrom(value.at(2)),
-                             value.at(3).get<std::uint64_t>(),
-                             milliseconds(value.at(4).get<std::int64_t>()),
+        return view_snapshot{integerFrom<std::uint64_t>(value.at(1)), keyFrom(value.at(2)),
+                             integerFrom<std::uint64_t>(value.at(3)), durationFrom(value.at(4)),
                              recordsFrom(value.at(5))};
     default:
         throwDecodeError("message kind is unknown", value);
@@ -330,31 +366,31 @@
 
 entry_message messageFrom(const json &value)
 {
-    switch (value.at(0).get<std::uint64_t>()) {
+    switch (integerFrom<std::uint64_t>(value.at(0))) {
     case reportKind: {
         peer_report report;
         report.sender = hostFrom(value.at(1));
-        report.sequence = value.at(2).get<std::uint64_t>();
+        report.sequence = integerFrom<std::uint64_t>(value.at(2));
         report.isLeaving = value.at(3).get<bool>();
-        report.viewRevision = value.at(4).get<std::uint64_t>();
-        report.viewAge = milliseconds(value.at(5).get<std::int64_t>());
-        report.configVersion = value.at(6).get<std::uint64_t>();
+        report.viewRevision = integerFrom<std::uint64_t>(value.at(4));
+        report.viewAge = durationFrom(value.at(5));
+        report.configVersion = integerFrom<std::uint64_t>(value.at(6));
         report.rows = decodeRows(value.at(7).get_binary());
         report.isDelta = value.size() > 8 && value.at(8).get<bool>();
-        report.newFlowsPerSecond = value.size() > 9 ? value.at(9).get<unsigned>() : 0;
+        report.newFlowsPerSecond = value.size() > 9 ? countFrom(value.at(9)) : 0;
         return report;
     }
     case changesKind: {
         view_changes changes;
-        changes.after = value.at(1).get<std::uint64_t>();
-        changes.revision = value.at(2).get<std::uint64_t>();
-        changes.age = milliseconds(value.at(3).get<std::int64_t>());
-        changes.grace = milliseconds(value.at(4).get<std::int64_t>());
+        changes.after = integerFrom<std::uint64_t>(value.at(1));
+        changes.revision = integerFrom<std::uint64_t>(value.at(2));
+        changes.age = durationFrom(value.at(3));
+        changes.grace = durationFrom(value.at(4));
         changes.records = recordsFrom(value.at(5));
         return changes;
     }
     case pullKind:
-        return view_pull{value.at(1).get<std::uint64_t>(), endpointFrom(value.at(2))};
+        return view_pull{integerFrom<std::uint64_t>(value.at(1)), endpointFrom(value.at(2))};
     default:
         throwDecodeError("message kind is unknown", value);
     }
--- a/tests/platform/record_format_test.cpp
+++ b/tests/platform/record_format_test.cpp
@@ -129,7 +129,12 @@
 {
     for (const char *text :
          {"", "[]", "{\"version\":1}", "{\"version\":\"x\",\"routes\":[],\"services\":[]}",
-          "{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"x\"}],\"services\":[]}"}) {
+          "{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"x\"}],\"services\":[]}",
+          "{\"version\":1e30,\"routes\":[],\"services\":[]}",
+          "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"warmup-s\":1e300}]}",
+          "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"warmup-per-s\":1e300}]}",
+          "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"warmup-per-s\":-1}]}"}) {
+        CAPTURE(text);
         CHECK(
             std::holds_alternative<record_change::unreadable>(decoded("op/config", text).content));
     }
--- a/tests/wire/entry_message_test.cpp
+++ b/tests/wire/entry_message_test.cpp
@@ -3,6 +3,7 @@
 #include <random>
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include "errors.h"
 
@@ -133,6 +134,29 @@
     CHECK(succeeds([&] { return decodeEntryMessage(key, validBytes); }));
 }
 
+TEST_CASE("entry_message: numbers out of bounds: refused")
+{
+    const auto signedOf = [](const nlohmann::json &value) {
+        byte_buffer bytes = nlohmann::json::to_cbor(value);
+        signPeerDatagram(key, bytes);
+        return bytes;
+    };
+    constexpr int pullKind = 3;
+    CHECK(succeeds([&] {
+        return decodeEntryMessage(key, signedOf({pullKind, 5, "10.0.0.1:7000"}));
+    }));
+    for (const nlohmann::json &revision : {nlohmann::json(4.5e22), nlohmann::json(-1)}) {
+        CAPTURE(revision.dump());
+        CHECK_FALSE(succeeds([&] {
+            return decodeEntryMessage(key, signedOf({pullKind, revision, "10.0.0.1:7000"}));
+        }));
+    }
+    view_changes changes = sampleChanges();
+    changes.age = milliseconds::max();
+    CHECK_FALSE(
+        succeeds([&] { return decodeEntryMessage(key, encodeEntryMessage(key, changes)); }));
+}
+
 TEST_CASE("entry_message: larger than the maximum size: refused")
 {
     byte_buffer bytes(maxEntryMessageBytes + 1);
