Do not take a second copy of an answer as the next one's

Cause: calls to the store share a connection. Bytes that came after an answer stayed in its buffer, or in the socket, and were parsed as the answer to the next call: a second copy of a listing as a lease, or of an old read as a new one.

Change: if anything came after the last answer, the next call opens a new connection. A copy that comes after the next request was sent cannot be told apart, as HTTP/1.1 answers carry no number; that stays open.

--- a/include/figstair/store/http_connection.h
+++ b/include/figstair/store/http_connection.h
@@ -30,7 +30,8 @@
 using http_reply = std::variant<http_response, http_error>;
 
 /// An HTTP connection that is kept open between requests and reopened after each failure. Requests
-/// are sent one at a time in the order they were made.
+/// are sent one at a time in the order they were made. If bytes came that belong to no request,
+/// such as a second copy of a response, the next request opens a new connection.
 class http_connection
 {
 public:
--- a/src/store/http_connection.cpp
+++ b/src/store/http_connection.cpp
@@ -83,7 +83,7 @@
         }
         m_currentCall = std::move(m_queue.front());
         m_queue.pop_front();
-        if (m_stream) {
+        if (m_stream && !hasUnexpectedBytes()) {
             m_stream->expires_after(m_currentCall.timeout);
             write();
             return;
@@ -102,6 +102,14 @@
                                 });
     }
 
+    /// Whether something came after the last response, such as a second copy of it. The next call
+    /// would take it as its own response.
+    bool hasUnexpectedBytes() const
+    {
+        beast::error_code error;
+        return m_buffer.size() > 0 || m_stream->socket().available(error) > 0 || error;
+    }
+
     void setSocketOptions()
     {
         asio::ip::tcp::socket &socket = m_stream->socket();
