Do not call a view current by an answer that waited for a paused process

Cause: the answer to a watch was taken as at most 150 ms old when it was read. If the process was paused meanwhile, it could be as old as the pause, and the host told others that the store had just confirmed its view.

Change: the store cannot have answered later than the call plus the time that it may hold it, so the view is at least as old as that.

Measured: the new test, a pause of 10 s, fails without it (the view counted as 150 ms old) and passes with it.

--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -98,6 +98,7 @@
     bool m_needsListing = true;
     bool m_isCallPending = false;
     monotonic_time m_calledAt{};
+    milliseconds m_maxWait{0}; ///< of the last watch: how long the store may have held it
     monotonic_time m_confirmedAt{};
     monotonic_time m_lastReadAt{};
     monotonic_time m_nextCallAt{};
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -87,7 +87,8 @@
     }
     m_isCallPending = true;
     m_calledAt = now;
-    return {feed_call::kind::watch, m_revision, rank == 0 ? longPollTime : milliseconds(1)};
+    m_maxWait = rank == 0 ? longPollTime : milliseconds(1);
+    return {feed_call::kind::watch, m_revision, m_maxWait};
 }
 
 monotonic_time view_feed::nextDeadline(monotonic_time now, unsigned rank) const
@@ -144,7 +145,9 @@
 {
     onAnswered(now);
     const bool isNew = revision > m_revision;
-    m_lastReadAt = std::max(m_calledAt, now - maxAnswerAge);
+    // The answer may have waited for this process, if it was paused.
+    const monotonic_time answeredBy = std::min(now - maxAnswerAge, m_calledAt + m_maxWait);
+    m_lastReadAt = std::max(m_calledAt, answeredBy);
     confirm(revision, m_lastReadAt);
     if (isNew && isUpToDate()) {
         m_nextCallAt = now + batchDelay;
--- a/tests/core/view_feed_test.cpp
+++ b/tests/core/view_feed_test.cpp
@@ -40,6 +40,19 @@
     CHECK(feed.nextCall(ms(501), 0).afterRevision == 53);
 }
 
+TEST_CASE_FIXTURE(
+    listed_feed,
+    "view_feed: the process is paused while an answer waits for it: the view is as old "
+    "as the answer")
+{
+    const feed_call call = feed.nextCall(ms(1), 0);
+    constexpr std::int64_t resumedAt = 10000;
+    feed.onWatched(53, ms(resumedAt));
+    const monotonic_time latestAnswer = ms(1) + call.maxWait;
+    CHECK(feed.lastReadAge(ms(resumedAt)) >= ms(resumedAt) - latestAnswer);
+    CHECK(feed.age(ms(resumedAt)) >= ms(resumedAt) - latestAnswer);
+}
+
 TEST_CASE_FIXTURE(listed_feed, "view_feed: another host: reads only when its view is too old")
 {
     CHECK(feed.nextCall(ms(1000), 1).operation == feed_call::kind::none);
