Split the division of slots into its steps

Cause: slot_shares::compute had 80 lines and four local functions; it could not be read in one go.

Change: what a zone's hosts lack, what zones leave and the overlap of both have functions of their own. No change in what is computed.

Measured: all tests of slot_shares, placement and overload pass as before.

--- a/include/figstair/core/slot_shares.h
+++ b/include/figstair/core/slot_shares.h
@@ -23,6 +23,10 @@
 
     /// Slots of this host at @p upstream.
     double homeSlots(upstream_index upstream) const;
+
+    /// Adds @p count slots at @p upstream, unless they are next to nothing. All slots at one
+    /// upstream must be added one after the other, and home sorted afterwards.
+    void add(upstream_index upstream, double count);
 };
 
 /// Divides the slots of each service among the hosts, in proportion to the new flows that they get.
@@ -59,6 +63,11 @@
         double first = 0; ///< this host's interval within the zone, from 0 to 1; empty elsewhere
         double last = 0;
     };
+    struct slot_interval
+    {
+        double first = 0;
+        double last = 0;
+    };
     struct cached_share
     {
         slot_share share;
@@ -71,6 +80,12 @@
 
     void updateHosts(monotonic_time now);
     void updateOrder(const std::string &service, cached_share &cached);
+    static double overlapOf(slot_interval a, slot_interval b); ///< negative if there is none
+    bool isUsable(upstream_index upstream, monotonic_time now) const;
+    double usableSlots(const std::vector<upstream_index> &upstreams, monotonic_time now) const;
+    zone_interval intervalOf(const std::string &zone) const;
+    slot_interval intervalOfRest(const std::unordered_map<std::string, double> &slotsByZone,
+                                 double serviceSlots) const;
     slot_share compute(const cached_share &cached, monotonic_time now) const;
 
     upstream_directory &m_directory;
--- a/src/core/slot_shares.cpp
+++ b/src/core/slot_shares.cpp
@@ -48,6 +48,24 @@
     return found == home.end() || found->first != upstream ? 0 : found->second;
 }
 
+void slot_share::add(upstream_index upstream, double count)
+{
+    if (count <= minSlots) {
+        return;
+    }
+    slots += count;
+    if (!home.empty() && home.back().first == upstream) {
+        home.back().second += count;
+    } else {
+        home.emplace_back(upstream, count);
+    }
+}
+
+double slot_shares::overlapOf(slot_interval a, slot_interval b)
+{
+    return std::min(a.last, b.last) - std::max(a.first, b.first);
+}
+
 slot_shares::slot_shares(upstream_directory &directory, const upstream_health &health,
                          const peer_roster &roster)
     : m_directory(directory)
@@ -116,81 +134,81 @@
     cached.orderGeneration = m_directory.generation();
 }
 
-slot_share slot_shares::compute(const cached_share &cached, monotonic_time now) const
+bool slot_shares::isUsable(upstream_index upstream, monotonic_time now) const
 {
-    slot_share share;
-    const auto isUsable = [&](upstream_index upstream) {
-        return now >= m_directory.at(upstream).coldUntil && !m_health.isEjected(upstream);
-    };
-    std::vector<double> zoneSlots;
-    for (const auto &[zone, upstreams] : cached.order) {
-        double slots = 0;
-        for (const upstream_index upstream : upstreams) {
-            slots += isUsable(upstream) ? m_directory.at(upstream).entry.slots : 0;
-        }
-        zoneSlots.push_back(slots);
-        share.serviceSlots += slots;
+    return now >= m_directory.at(upstream).coldUntil && !m_health.isEjected(upstream);
+}
+
+double slot_shares::usableSlots(const std::vector<upstream_index> &upstreams,
+                                monotonic_time now) const
+{
+    double slots = 0;
+    for (const upstream_index upstream : upstreams) {
+        slots += isUsable(upstream, now) ? m_directory.at(upstream).entry.slots : 0;
     }
-    const auto intervalOf = [&](const std::string &zone) {
-        const auto found = m_zones.find(zone);
-        return found == m_zones.end() ? zone_interval{} : found->second;
-    };
-    // What the zones lack is taken from the rest of the others, in the order of their names. Zones
-    // with hosts but without upstreams come first.
-    const zone_interval own = intervalOf(m_roster.self().zone);
+    return slots;
+}
+
+slot_shares::zone_interval slot_shares::intervalOf(const std::string &zone) const
+{
+    const auto found = m_zones.find(zone);
+    return found == m_zones.end() ? zone_interval{} : found->second;
+}
+
+/// Slots that other zones leave, this host's part of them: an interval on the line of all that
+/// zones leave. Zones whose hosts lack slots take from it one after the other, by name.
+slot_shares::slot_interval
+slot_shares::intervalOfRest(const std::unordered_map<std::string, double> &slotsByZone,
+                            double serviceSlots) const
+{
+    const std::string &ownZone = m_roster.self().zone;
     double lackBefore = 0;
     double ownLack = 0;
-    std::unordered_map<std::string, double> slotsByZone;
-    for (std::size_t index = 0; index < cached.order.size(); ++index) {
-        slotsByZone[cached.order[index].first] = zoneSlots[index];
-    }
     for (const auto &[zone, interval] : m_zones) {
         const auto found = slotsByZone.find(zone);
-        const double lack = std::max(0.0,
-                                     interval.demand * share.serviceSlots
-                                         - (found == slotsByZone.end() ? 0 : found->second));
-        if (zone == m_roster.self().zone) {
+        const double slots = found == slotsByZone.end() ? 0 : found->second;
+        const double lack = std::max(0.0, interval.demand * serviceSlots - slots);
+        if (zone == ownZone) {
             ownLack = lack;
-        } else if (zone < m_roster.self().zone) {
+        } else if (zone < ownZone) {
             lackBefore += lack;
         }
     }
-    const auto addPart = [&](upstream_index upstream, double slots) {
-        if (slots <= minSlots) {
-            return;
-        }
-        share.slots += slots;
-        if (!share.home.empty() && share.home.back().first == upstream) {
-            share.home.back().second += slots;
-        } else {
-            share.home.emplace_back(upstream, slots);
-        }
-    };
-    const auto overlap = [](double first, double last, double from, double to) {
-        return std::min(last, to) - std::max(first, from);
-    };
-    const double restFirst = lackBefore + own.first * ownLack;
-    const double restLast = lackBefore + own.last * ownLack;
+    const zone_interval own = intervalOf(ownZone);
+    return {lackBefore + own.first * ownLack, lackBefore + own.last * ownLack};
+}
+
+/// The usable slots of each zone lie on a line, in the order of their upstreams. Its beginning goes
+/// to the zone's own hosts, each of which has an interval of it. What is left of all zones forms a
+/// second line, which goes to the hosts of zones that lack slots.
+slot_share slot_shares::compute(const cached_share &cached, monotonic_time now) const
+{
+    slot_share share;
+    std::unordered_map<std::string, double> slotsByZone;
+    for (const auto &[zone, upstreams] : cached.order) {
+        slotsByZone[zone] = usableSlots(upstreams, now);
+        share.serviceSlots += slotsByZone[zone];
+    }
+    const slot_interval rest = intervalOfRest(slotsByZone, share.serviceSlots);
     double restPosition = 0;
-    for (std::size_t index = 0; index < cached.order.size(); ++index) {
-        const auto &[zone, upstreams] = cached.order[index];
+    for (const auto &[zone, upstreams] : cached.order) {
         const zone_interval interval = intervalOf(zone);
-        const double usedHere = std::min(zoneSlots[index], interval.demand * share.serviceSlots);
+        const double zoneSlots = slotsByZone[zone];
+        const double ownHosts = std::min(zoneSlots, interval.demand * share.serviceSlots);
+        const slot_interval own{interval.first * ownHosts, interval.last * ownHosts};
         double position = 0;
         for (const upstream_index upstream : upstreams) {
-            if (!isUsable(upstream)) {
+            if (!isUsable(upstream, now)) {
                 continue;
             }
-            const double next = position + m_directory.at(upstream).entry.slots;
-            addPart(upstream,
-                    overlap(interval.first * usedHere, interval.last * usedHere, position, next));
-            // The rest of the zone begins where its own hosts' part ends.
-            const double restBegin = restPosition + std::max(position, usedHere) - usedHere;
-            const double restEnd = restPosition + std::max(next, usedHere) - usedHere;
-            addPart(upstream, overlap(restFirst, restLast, restBegin, restEnd));
-            position = next;
+            const slot_interval slots{position, position + m_directory.at(upstream).entry.slots};
+            const slot_interval left{restPosition + std::max(slots.first, ownHosts) - ownHosts,
+                                     restPosition + std::max(slots.last, ownHosts) - ownHosts};
+            share.add(upstream, overlapOf(own, slots));
+            share.add(upstream, overlapOf(rest, left));
+            position = slots.last;
         }
-        restPosition += zoneSlots[index] - usedHere;
+        restPosition += zoneSlots - ownHosts;
     }
     std::sort(share.home.begin(), share.home.end());
     return share;
