--- a/include/figstair/core/flow_placer.h
+++ b/include/figstair/core/flow_placer.h
@@ -41,7 +41,7 @@
     placement_outcome outcome = placement_outcome::noneUsable;
     upstream_index upstream = noUpstream;
     /// "least_load", "trial" or "cold_allowance" if placed, otherwise "all_full" or "none_usable".
-    /// For a placed flow entry_core logs the text and selects counters by it: trialsSent for
+    /// For a placed flow flow_opener logs the text and selects counters by it: trialsSent for
     /// "trial", coldFlowsSent for "cold_allowance".
     std::string_view reason;
     /// If saturated: one of the upstreams had a free slot by this host's count and the latest
--- a/include/figstair/core/flow_refuser.h
+++ b/include/figstair/core/flow_refuser.h
@@ -24,15 +24,15 @@
 ///
 /// A flow is refused by a reset only if no upstream can open it any more: this host saw every SYN
 /// that the caller has sent for it, and forwarded none. A refused request has therefore not run.
-/// Other flows are dropped without a word; the caller's next SYN is considered anew.
+/// Other flows are dropped: nothing is sent, and the caller's next SYN is considered anew.
 class flow_refuser
 {
 public:
     /// @p context must outlive the refuser.
     explicit flow_refuser(const flow_context &context);
 
-    /// Number of SYNs that callers send for a flow before one with retransmission count
-    /// @p count; all after the last scheduled one count as that one.
+    /// Index of the SYN with retransmission count @p count in the schedule of callers; that of the
+    /// last scheduled SYN for all later ones.
     static std::size_t scheduleIndex(std::uint32_t count);
 
     /// Age of a flow when its caller sends the SYN with schedule index @p index.
@@ -42,7 +42,7 @@
     /// another host.
     bool mayBeRefused(const flow_record &record) const;
 
-    /// Refuses the flow if that is true, otherwise drops it. @p record may be erased.
+    /// Refuses the flow if mayBeRefused(), otherwise drops it. @p record may be erased.
     void refuseOrDrop(const flow_id &flow, flow_record &record, const refusal &why);
 
     /// Refuses a flow to an address that has no route.
--- a/include/figstair/core/slot_shares.h
+++ b/include/figstair/core/slot_shares.h
@@ -24,8 +24,8 @@
     /// Slots of this host at @p upstream.
     double homeSlots(upstream_index upstream) const;
 
-    /// Adds @p count slots at @p upstream, unless they are next to nothing. All slots at one
-    /// upstream must be added one after the other, and home sorted afterwards.
+    /// Adds @p count slots at @p upstream; rounding errors and negative counts are ignored. All
+    /// slots at one upstream must be added one after the other, and home sorted afterwards.
     void add(upstream_index upstream, double count);
 };
 
--- a/tests/wire/bounded_cbor_test.cpp
+++ b/tests/wire/bounded_cbor_test.cpp
@@ -57,10 +57,21 @@
 
 TEST_CASE("entry_message: the longest message, all of it nesting: refused with a small stack")
 {
-    byte_buffer bytes = nestedArrays(maxEntryMessageBytes - 1);
-    bytes.insert(bytes.begin(), 0); // the prefix of unsigned messages
-    REQUIRE(isUnsigned(bytes));
-    bool isRefused = false;
-    runOnSmallStack([&] { isRefused = !succeeds([&] { return decodeUnsigned(bytes); }); });
-    CHECK(isRefused);
+    constexpr std::uint8_t arrayOfOne = 0x81;
+    constexpr std::uint8_t mapOfOne = 0xA1;
+    constexpr std::uint8_t bytesInParts = 0x5F;
+    constexpr std::uint8_t textInParts = 0x7F;
+    constexpr std::uint8_t openArray = 0x9F;
+    constexpr std::uint8_t openMap = 0xBF;
+    constexpr std::uint8_t tag = 0xC1;
+    for (const std::uint8_t head :
+         {arrayOfOne, mapOfOne, bytesInParts, textInParts, openArray, openMap, tag}) {
+        CAPTURE(unsigned(head));
+        byte_buffer bytes(maxEntryMessageBytes, head);
+        bytes.front() = 0; // the prefix of unsigned messages
+        REQUIRE(isUnsigned(bytes));
+        bool isRefused = false;
+        runOnSmallStack([&] { isRefused = !succeeds([&] { return decodeUnsigned(bytes); }); });
+        CHECK(isRefused);
+    }
 }
