Count the time that messages waited as age of the view

Cause: a host takes its view as current by what others say, and so decides not to read the store itself. The age that they state is from when they sent it. A message that waited in this host's socket, since the process was paused or too slow, confirmed the view as if just sent. Class: an age that omits the last part of the way.

Change: each message counts as received when the socket was last found empty. A freeze ages the view, and what is read next, by its length, and the host reads the store once, whatever its rank. The histogram peer_message_delay_ms shows the waiting times.

--- a/include/figstair/core/entry_output.h
+++ b/include/figstair/core/entry_output.h
@@ -51,7 +51,13 @@
 std::string_view toText(entry_counter which);
 
 /// Histograms of the packet path, in milliseconds; toText() returns their metric names.
-enum class entry_distribution : std::uint8_t { handshake, firstAnswer, held, count };
+enum class entry_distribution : std::uint8_t {
+    handshake,
+    firstAnswer,
+    held,
+    peerMessageDelay, ///< upper bounds of how long messages from other hosts waited to be read
+    count
+};
 
 std::string_view toText(entry_distribution which);
 
--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -42,6 +42,10 @@
     /// revision, so it has to be listed again.
     void onFailed(bool isHistoryGone, monotonic_time now);
 
+    /// This host did not run for @p gap, which the clock may have counted or not. Ages the view and
+    /// what is read next by that time, and reads the store once, whatever the rank.
+    void onFreeze(milliseconds gap);
+
     /// Another host relays the changes that follow revision @p after, up to and including
     /// @p revision. The store last answered that host @p age ago. Returns whether to apply the
     /// changes: @p revision is newer than this view, and @p after is not. If no change is missing
@@ -97,6 +101,7 @@
     bool m_isLoaded = false;
     bool m_needsListing = true;
     bool m_isCallPending = false;
+    bool m_needsRead = false; ///< since a freeze
     monotonic_time m_calledAt{};
     milliseconds m_maxWait{0}; ///< of the last watch: how long the store may have held it
     monotonic_time m_confirmedAt{};
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -49,6 +50,16 @@
     void tick();
     monotonic_time nextDeadline();
 
+    /// This host did not run for @p gap.
+    void onFreeze(milliseconds gap);
+
+    /// No message from another host waits to be read. Later ones are taken to have waited since
+    /// then, which is the least age that is sure while this host is slow or frozen.
+    void onPeerMessagesRead() { m_peerMessagesReadAt = m_clock.monotonic(); }
+
+    /// Longest time that a message which is read now can have waited in this host's socket.
+    milliseconds maxMessageDelay() const;
+
     /// Applies changes that another host relayed, if they follow this host's revision.
     void onRelayedChanges(const view_changes &changes);
 
@@ -109,6 +120,7 @@
     unsigned m_rank = 0; ///< as of m_rankUpdatedAt
     monotonic_time m_rankUpdatedAt{};
     endpoint m_newerPeer; ///< a host that reported a newer view, of this zone if there is one
+    std::optional<monotonic_time> m_peerMessagesReadAt; ///< last onPeerMessagesRead()
     std::string m_newerPeerZone; ///< empty: no newer view was reported since the last pull
     monotonic_time m_firstLoadedAt{};
     std::uint64_t m_leaseId = 0;
--- a/src/core/entry_output.cpp
+++ b/src/core/entry_output.cpp
@@ -42,7 +42,7 @@
 };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(entry_distribution::count)>
-    distributionNames{"handshake_ms", "first_answer_ms", "held_ms"};
+    distributionNames{"handshake_ms", "first_answer_ms", "held_ms", "peer_message_delay_ms"};
 
 } // namespace
 
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -82,7 +82,7 @@
     }
     const bool isStale = age(now) >= staleAfter(rank);
     const bool isBehindTooLong = m_isBehind && now - m_behindSince >= behindReadDelay;
-    if (rank > 0 && !isStale && !isBehindTooLong) {
+    if (rank > 0 && !isStale && !isBehindTooLong && !m_needsRead) {
         return {};
     }
     m_isCallPending = true;
@@ -96,7 +96,7 @@
     if (m_isCallPending) {
         return now + staleAge;
     }
-    if (m_needsListing || rank == 0) {
+    if (m_needsListing || m_needsRead || rank == 0) {
         return m_nextCallAt;
     }
     monotonic_time next = m_confirmedAt + staleAfter(rank);
@@ -109,6 +109,7 @@
 void view_feed::onAnswered(monotonic_time now)
 {
     m_isCallPending = false;
+    m_needsRead = false;
     if (m_failures > 0) {
         m_lapseGraceEnd = now + lapseGrace;
     }
@@ -168,6 +169,14 @@
     m_nextCallAt = now + pause + milliseconds(m_random() % static_cast<unsigned>(pause.count()));
 }
 
+void view_feed::onFreeze(milliseconds gap)
+{
+    m_confirmedAt -= gap;
+    m_lastReadAt -= gap;
+    m_calledAt -= gap;
+    m_needsRead = true;
+}
+
 bool view_feed::onRelayedChanges(std::uint64_t after, std::uint64_t revision, milliseconds age,
                                  milliseconds grace, monotonic_time now)
 {
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -275,6 +275,9 @@
                 const std::size_t size =
                     m_peerSocket.receive_from(asio::buffer(m_peerBuffer), from, 0, problem);
                 if (problem) {
+                    observe(entry_distribution::peerMessageDelay,
+                            m_storeSession->maxMessageDelay());
+                    m_storeSession->onPeerMessagesRead();
                     break;
                 }
                 this->count(entry_counter::peerBytesReceived, size);
@@ -339,6 +342,7 @@
         if (const auto gap = m_freezeDetector.observe()) {
             logEvent("froze", {{"ms", std::to_string(gap->count())}});
             m_core->onFreeze(*gap);
+            m_storeSession->onFreeze(*gap);
         }
     }
 
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -261,11 +261,26 @@
     tick();
 }
 
+void store_session::onFreeze(milliseconds gap)
+{
+    m_feed.onFreeze(gap);
+    if (m_peerMessagesReadAt) {
+        *m_peerMessagesReadAt -= gap;
+    }
+}
+
+milliseconds store_session::maxMessageDelay() const
+{
+    return m_peerMessagesReadAt ? m_clock.monotonic() - *m_peerMessagesReadAt
+                                : milliseconds::zero();
+}
+
 void store_session::onRelayedChanges(const view_changes &changes)
 {
     const monotonic_time now = m_clock.monotonic();
     const std::uint64_t before = m_feed.revision();
-    if (m_feed.onRelayedChanges(changes.after, changes.revision, changes.age, changes.grace, now)) {
+    if (m_feed.onRelayedChanges(changes.after, changes.revision, changes.age + maxMessageDelay(),
+                                changes.grace, now)) {
         applyChanges(changes.records);
         addToHistory(std::max(before, changes.after), changes.revision, changes.records);
     }
@@ -329,7 +344,7 @@
         return;
     }
     m_environment.adoptKey(snapshot.key);
-    m_feed.onSnapshot(snapshot.revision, snapshot.age, m_clock.monotonic());
+    m_feed.onSnapshot(snapshot.revision, snapshot.age + maxMessageDelay(), m_clock.monotonic());
     applyListing(store_records{snapshot.records, snapshot.revision});
     m_environment.logEvent("view_from_seed",
                            {{"revision", std::to_string(snapshot.revision)},
@@ -346,7 +361,7 @@
         m_newerPeer = report.sender.peerAddress;
         m_newerPeerZone = report.sender.zone;
     }
-    m_feed.onPeerView(report.viewRevision, report.viewAge, m_clock.monotonic());
+    m_feed.onPeerView(report.viewRevision, report.viewAge + maxMessageDelay(), m_clock.monotonic());
     m_core.onViewConfirmed(m_feed.confirmedAt());
 }
 
--- a/tests/core/view_feed_test.cpp
+++ b/tests/core/view_feed_test.cpp
@@ -53,6 +53,28 @@
     CHECK(feed.age(ms(resumedAt)) >= ms(resumedAt) - latestAnswer);
 }
 
+TEST_CASE_FIXTURE(
+    listed_feed,
+    "view_feed: suspended while an answer waits for it, and the clock with it: the view is as old "
+    "as the answer")
+{
+    constexpr milliseconds suspension{10000};
+    const feed_call call = feed.nextCall(ms(1), 0);
+    SUBCASE("noticed before the answer is read")
+    {
+        feed.onFreeze(suspension);
+        feed.onWatched(53, ms(300));
+    }
+    SUBCASE("noticed after the answer is read")
+    {
+        feed.onWatched(53, ms(300));
+        feed.onFreeze(suspension);
+    }
+    const milliseconds leastAge = suspension - call.maxWait;
+    CHECK(feed.age(ms(300)) >= leastAge);
+    CHECK(feed.lastReadAge(ms(300)) >= leastAge);
+}
+
 TEST_CASE_FIXTURE(listed_feed, "view_feed: another host: reads only when its view is too old")
 {
     CHECK(feed.nextCall(ms(1000), 1).operation == feed_call::kind::none);
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -502,3 +502,62 @@
         CHECK(environment.lastPeer.port == 2);
     }
 }
+
+namespace {
+
+/// A host whose view other hosts confirm, and which does not run from then until resumed().
+struct paused_session : public session_with_store
+{
+    paused_session()
+    {
+        answerList(20, {});
+        session->onPeerMessagesRead();
+    }
+    milliseconds viewAge() { return session->feed().age(clock.monotonic()); }
+
+    /// Delivers messages that were sent during the pause and say that the store has just answered.
+    void readWaitingMessages()
+    {
+        session->onRelayedChanges(
+            view_changes{20, 21, milliseconds(5), milliseconds(0), {upstreamChange(1, 21)}});
+        peer_report report;
+        report.sender = host_record{"h2", "z", endpoint{{}, 2}, 1, 0};
+        report.viewRevision = 21;
+        session->onPeerReport(report);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(
+    paused_session,
+    "store_session: messages waited while this host was paused: applied, but the view "
+    "is not as new as they were when they were sent")
+{
+    constexpr milliseconds pause{8000};
+    SUBCASE("the clock went on")
+    {
+        clock.advance(pause);
+    }
+    SUBCASE("the machine was suspended, and the clock with it")
+    {
+        session->onFreeze(pause);
+    }
+    readWaitingMessages();
+    CHECK(candidates() == 1);
+    CHECK(viewAge() >= pause);
+    CHECK(session->feed().lastReadAge(clock.monotonic()) >= pause);
+    session->onPeerMessagesRead();
+    readWaitingMessages();
+    CHECK(viewAge() <= milliseconds(5));
+}
+
+TEST_CASE_FIXTURE(paused_session,
+                  "store_session: this host was paused for a second: reads the store once, at once")
+{
+    session->onFreeze(milliseconds(1000));
+    session->tick();
+    REQUIRE(store->watches.size() == 1);
+    answerWatch(22, {});
+    CHECK(store->watches.size() == 1);
+}
