--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -40,6 +40,10 @@
     /// Applies one change of a store record.
     void onRecordChange(const record_change &change);
 
+    /// The store was restored from an older copy, and a listing of it follows; see
+    /// upstream_directory::onStoreRestored().
+    void onStoreRestored();
+
     /// Applies a full listing of the store as of @p revision. Upstreams, hosts and evacuations that
     /// it lacks count as removed from the store.
     void onListing(const std::vector<record_change> &listing, std::uint64_t revision);
--- a/include/figstair/core/entry_output.h
+++ b/include/figstair/core/entry_output.h
@@ -40,6 +40,7 @@
     unreadableRecords,
     storeCalls,
     storeFailures,
+    storeRestorations, ///< new epochs of the store: it was restored from an older copy
     logLinesDropped,
     reportBytesSent, ///< periodic load and health reports, to other hosts
     newsBytesSent, ///< reports sent before they were due
--- a/include/figstair/core/fleet_records.h
+++ b/include/figstair/core/fleet_records.h
@@ -79,6 +79,8 @@
     bool isDraining = false;
     milliseconds coldFor{0}; ///< remaining cold time when the entry was written
     std::int64_t startedAtMs = 0; ///< start of this incarnation of the id, Unix milliseconds
+    /// Incremented by the upstream with each write, from its start on; 0: not stated.
+    std::uint64_t sequence = 0;
 };
 
 /// The entry that a figstair host publishes about itself.
--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -31,6 +31,8 @@
     monotonic_time coldUntil{};
     monotonic_time unlistedAt{};
     bool isLapsing = false;
+    /// The last change is from before the store was restored from an older copy.
+    bool isFromEarlierEpoch = false;
 };
 
 /// Every upstream that packets may go to. The states of an upstream:
@@ -52,6 +54,13 @@
     /// evacuation. An evacuation that retain() ends is followed by no cold time.
     void apply(const record_change &change, monotonic_time now, milliseconds returnColdTime);
 
+    /// The store was restored from an older copy, and a listing of it follows. Forgets the
+    /// revisions of the known records, but keeps the records: an entry in the copy that its
+    /// upstream replaced later is ignored, and one that was removed later is ignored until @p
+    /// deferralEnd, unless it changes. Evacuations that the copy lacks stay in force until the end
+    /// of keepLapsedUntil().
+    void onStoreRestored(monotonic_time deferralEnd);
+
     /// Treats the entries of upstreams that a full @p listing of the store at @p revision lacks as
     /// removed, and ends the evacuations that it lacks, unless they changed after it.
     void retain(boost::span<const record_change> listing, std::uint64_t revision,
@@ -97,6 +106,8 @@
     {
         std::uint64_t revision = 0;
         bool isInForce = false;
+        bool isLapsing = false; ///< in force until the grace period ends
+        bool isFromEarlierEpoch = false; ///< see known_upstream
     };
     /// Upstreams by zone number.
     using zone_lists = std::vector<std::vector<upstream_index>>;
@@ -105,6 +116,9 @@
     void applyEvacuation(const record_change &change, monotonic_time now,
                          milliseconds returnColdTime);
     upstream_index add(std::uint64_t id);
+    void applyDeferred(monotonic_time now);
+    void endLapsing(monotonic_time now);
+    void forgetUnlisted(monotonic_time now);
     void unlist(known_upstream &upstream, monotonic_time now);
     void remove(known_upstream &upstream, monotonic_time now);
     bool takesNewFlows(const known_upstream &upstream) const;
@@ -121,6 +135,9 @@
     std::unordered_map<std::string, zone_lists> m_candidates; ///< by service
     monotonic_time m_lapseGraceEnd{};
     bool m_hasLapsing = false;
+    /// Changes to removed upstreams that a restored store may have from before the removal.
+    std::vector<record_change> m_deferred;
+    monotonic_time m_deferralEnd{};
     monotonic_time m_nextSweepAt{};
     std::uint64_t m_generation = 1; ///< incremented when the candidates may have changed
     std::uint64_t m_builtGeneration = 0; ///< for which m_candidates was built
--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "figstair/core/clock_source.h"
+#include "figstair/core/store_position.h"
 
 namespace figstair {
 
@@ -28,15 +29,21 @@
     /// onFailed(). @p rank: number of live hosts ranked before this one.
     feed_call nextCall(monotonic_time now, unsigned rank);
 
-    /// The store answered a listing of its state at @p revision.
-    void onListed(std::uint64_t revision, monotonic_time now);
+    /// The store answered a listing of its state at @p position. Returns whether to apply it: no
+    /// newer epoch is known. After a listing of a new epoch, lapseGraceEnd() is in the future.
+    bool onListed(const store_position &position, monotonic_time now);
 
     /// The whole view of another host, confirmed by the store @p age ago, was applied in place of a
     /// listing.
-    void onSnapshot(std::uint64_t revision, milliseconds age, monotonic_time now);
+    void onSnapshot(const store_position &position, milliseconds age, monotonic_time now);
 
-    /// The store answered a watch with all changes up to @p revision.
-    void onWatched(std::uint64_t revision, monotonic_time now);
+    /// The store answered a watch with all changes up to @p position. Returns whether to apply
+    /// them: they are of this view's epoch, so no change is missing.
+    bool onWatched(const store_position &position, monotonic_time now);
+
+    /// An answer of the store stated @p epoch. If it is newer than any known one, the next call
+    /// lists the store, at once.
+    void onStoreEpoch(std::uint64_t epoch, monotonic_time now);
 
     /// A call failed. @p isHistoryGone: the store no longer has the changes after this view's
     /// revision, so it has to be listed again.
@@ -47,17 +54,18 @@
     void onFreeze(milliseconds gap);
 
     /// Another host relays the changes that follow revision @p after, up to and including
-    /// @p revision. The store last answered that host @p age ago. Returns whether to apply the
-    /// changes: @p revision is newer than this view, and @p after is not. If no change is missing
-    /// between the two, moves lapseGraceEnd() to at least @p grace from now.
-    bool onRelayedChanges(std::uint64_t after, std::uint64_t revision, milliseconds age,
+    /// @p position. The store last answered that host @p age ago. Returns whether to apply the
+    /// changes: they are of this view's epoch, @p position is newer than this view, and @p after is
+    /// not. If no change is missing between the two, moves lapseGraceEnd() to at least @p grace
+    /// from now.
+    bool onRelayedChanges(std::uint64_t after, const store_position &position, milliseconds age,
                           milliseconds grace, monotonic_time now);
 
-    /// Another host reports the revision of its view and its lastReadAge().
-    void onPeerView(std::uint64_t revision, milliseconds age, monotonic_time now);
+    /// Another host reports the position of its view and its lastReadAge().
+    void onPeerView(const store_position &position, milliseconds age, monotonic_time now);
 
     /// Whether no other host has reported a newer view.
-    bool isUpToDate() const { return m_revision >= m_maxPeerRevision; }
+    bool isUpToDate() const { return !(m_position < m_maxPeerPosition); }
 
     /// Whether to relay changes that were read: no other host has reported a newer view, and
     /// @p rank is below 10. Hosts of higher ranks all wait for the same maximum delay before they
@@ -74,7 +82,7 @@
     /// End of the grace period after failed calls to the store: until then entries may be missing.
     monotonic_time lapseGraceEnd() const { return m_lapseGraceEnd; }
 
-    std::uint64_t revision() const { return m_revision; }
+    const store_position &position() const { return m_position; }
     bool isLoaded() const { return m_isLoaded; }
 
     /// Time since the store was last known to match the view.
@@ -92,12 +100,14 @@
 
 private:
     milliseconds staleAfter(unsigned rank) const;
-    void confirm(std::uint64_t revision, monotonic_time asOf);
+    void confirm(const store_position &position, monotonic_time asOf);
+    void onPeerEpoch(std::uint64_t epoch, monotonic_time now);
     void onAnswered(monotonic_time now);
 
     std::mt19937_64 m_random;
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_maxPeerRevision = 0; ///< greatest that another host reported
+    store_position m_position;
+    store_position m_maxPeerPosition; ///< newest that another host reported
+    std::uint64_t m_newestEpoch = 0; ///< newest that the store or another host stated
     bool m_isLoaded = false;
     bool m_needsListing = true;
     bool m_isCallPending = false;
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -17,7 +17,8 @@
 
 /// Keeps this host's view of the store's records up to date: makes the store calls that view_feed
 /// schedules, applies records to entry_core, relays them to other hosts and keeps this host
-/// announced in the store.
+/// announced in the store. When the store was restored from an older copy, the host lists it and
+/// announces itself again, and keeps what the copy is known to lack until it is written again.
 class store_session
 {
 public:
@@ -95,6 +96,7 @@
     void onWatched(std::uint64_t after, store_reply<store_records> reply);
     void recordFailure(const char *call, const store_error &error);
     void recordSuccess();
+    void recordRestoration(const store_position &view);
     void applyListing(const store_records &listing);
     void requestViewFromSeeds(monotonic_time now);
     void applyChanges(const std::vector<record_change> &records);
@@ -102,6 +104,8 @@
     void addToHistory(std::uint64_t after, std::uint64_t revision,
                       const std::vector<record_change> &records);
     void offerKeyIfMissing(const std::vector<record_change> &listing);
+    void announceIfMissing(const std::vector<record_change> &listing);
+    void loseAnnouncement();
     void continueAnnouncing();
     void onAnnouncementFailed(const char *call, const store_error &error);
 
--- a/include/figstair/store/fleet_store.h
+++ b/include/figstair/store/fleet_store.h
@@ -32,6 +32,7 @@
 {
     std::vector<record_change> records;
     std::uint64_t revision = 0;
+    std::uint64_t epoch = 0; ///< of the store that the revisions count in; see store_position
 };
 
 template <typename value> using store_reply = std::variant<value, store_error>;
@@ -44,7 +45,8 @@
 public:
     virtual ~fleet_store() = default;
 
-    /// Reads all records. The reply's revision is the one from before the first record was read.
+    /// Reads all records of one epoch. The reply's revision is the one from before the first record
+    /// was read.
     virtual void list(store_handler<store_records> handler) = 0;
 
     /// Long poll for the changes after @p revision: replies as soon as there are any, or with none
@@ -66,6 +68,9 @@
     /// Writes @p key as the hosts' shared key; fails with a conflict when there is one.
     virtual void offerKey(const shared_key &key, store_handler<std::monostate> handler) = 0;
 
+    /// The newest epoch that any answer stated, errors included; 0: none did.
+    virtual std::uint64_t epoch() const = 0;
+
     /// Returns the number of calls made since the last invocation.
     virtual std::uint64_t takeCallCount() = 0;
 };
--- a/include/figstair/store/http_connection.h
+++ b/include/figstair/store/http_connection.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/verb.hpp>
 
 #include "figstair/core/clock_source.h"
@@ -18,6 +19,7 @@
 {
     unsigned status = 0;
     std::string body;
+    boost::beast::http::fields headers;
 };
 
 /// Reports an HTTP request that got no response.
--- a/include/figstair/wire/entry_message.h
+++ b/include/figstair/wire/entry_message.h
@@ -25,6 +25,7 @@
     std::uint64_t configVersion = 0;
     std::vector<load_row> rows;
     unsigned newFlowsPerSecond = 0; ///< that callers open at the sender; 0: not known
+    std::uint64_t viewEpoch = 0; ///< epoch of the store that viewRevision counts in
 };
 
 /// Changes of store records that a host forwards to other hosts.
@@ -35,6 +36,7 @@
     milliseconds age{0}; ///< time since the store last answered the sender directly
     milliseconds grace{0}; ///< time for which missing entries may still return
     std::vector<record_change> records;
+    std::uint64_t epoch = 0; ///< of the store that the revisions count in
 };
 
 /// Requests the changes after a revision.
@@ -42,6 +44,7 @@
 {
     std::uint64_t after = 0;
     endpoint replyTo;
+    std::uint64_t epoch = 0; ///< of the store that the revision counts in
 };
 
 /// Requests the complete view of a seed. Sent without a MAC, as the sender has no peer key yet.
@@ -59,6 +62,7 @@
     std::uint64_t revision = 0;
     milliseconds age{0}; ///< time since the store confirmed the view
     std::vector<record_change> records;
+    std::uint64_t epoch = 0; ///< of the store that the revisions count in
 };
 
 using unsigned_message = std::variant<view_request, view_snapshot>;
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -38,6 +38,10 @@
 /// at any time, and less than the time until the routers send packets to this host again.
 constexpr milliseconds maxResumeTime{500};
 
+/// An upstream's entry in the store expires after three heartbeats without a write; one more covers
+/// the delay of the removal.
+constexpr int entryLifeHeartbeats = 4;
+
 /// Interval between checks of the other hosts. A host counts as silent only after several of these.
 constexpr milliseconds rosterSweepInterval{100};
 
@@ -385,6 +389,11 @@
                        {"routes", std::to_string(m_routes.config().routes.size())}});
 }
 
+void entry_core::onStoreRestored()
+{
+    m_directory.onStoreRestored(m_clock.monotonic() + m_settings.heartbeat * entryLifeHeartbeats);
+}
+
 void entry_core::onListing(const std::vector<record_change> &listing, std::uint64_t revision)
 {
     for (const record_change &change : listing) {
--- a/src/core/entry_output.cpp
+++ b/src/core/entry_output.cpp
@@ -34,6 +34,7 @@
     "unreadable_records",
     "store_calls",
     "store_failures",
+    "store_restorations",
     "log_lines_dropped",
     "report_bytes_sent",
     "news_bytes_sent",
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <unordered_set>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -14,6 +15,15 @@
 /// Interval between sweeps for unlisted upstreams to forget.
 constexpr milliseconds sweepInterval{1000};
 
+/// Whether @p entry, from a restored store, may be older than the last known entry of @p upstream:
+/// it has the same start, and a lower sequence number, or the last one if it was removed.
+bool isOutdated(const known_upstream &upstream, const upstream_record &entry)
+{
+    return upstream.isFromEarlierEpoch && entry.startedAtMs == upstream.entry.startedAtMs
+        && (upstream.isListed ? entry.sequence < upstream.entry.sequence
+                              : entry.sequence <= upstream.entry.sequence);
+}
+
 } // namespace
 
 std::uint32_t upstreamTag(std::uint64_t id)
@@ -104,6 +114,13 @@
     }
     upstream.revision = change.revision;
     upstream.isLapsing = false;
+    if (entry != nullptr && isOutdated(upstream, *entry)) {
+        if (!upstream.isListed) {
+            m_deferred.push_back(change);
+        }
+        return;
+    }
+    upstream.isFromEarlierEpoch = false;
     invalidateCandidates();
     if (std::holds_alternative<record_change::removed>(change.content)) {
         remove(upstream, now);
@@ -129,6 +146,8 @@
         return;
     }
     zone.revision = change.revision;
+    zone.isLapsing = false;
+    zone.isFromEarlierEpoch = false;
     // Any record under the zone's name requests its evacuation, even an unreadable one.
     const bool isInForce = !std::holds_alternative<record_change::removed>(change.content);
     if (zone.isInForce && !isInForce) {
@@ -162,6 +181,20 @@
     }
 }
 
+void upstream_directory::onStoreRestored(monotonic_time deferralEnd)
+{
+    for (known_upstream &upstream : m_upstreams) {
+        upstream.revision = 0;
+        upstream.isFromEarlierEpoch = true;
+    }
+    for (auto &[name, zone] : m_evacuations) {
+        zone.revision = 0;
+        zone.isFromEarlierEpoch = true;
+    }
+    m_deferred.clear();
+    m_deferralEnd = deferralEnd;
+}
+
 void upstream_directory::retain(boost::span<const record_change> listing, std::uint64_t revision,
                                 monotonic_time now)
 {
@@ -182,9 +215,12 @@
         remove(upstream, now);
     }
     for (auto &[name, zone] : m_evacuations) {
-        if (zone.isInForce && zone.revision <= revision && evacuatedZones.count(name) == 0) {
-            zone.isInForce = false;
+        if (!zone.isInForce || zone.revision > revision || evacuatedZones.count(name) != 0) {
+            continue;
         }
+        zone.isLapsing = zone.isFromEarlierEpoch && now < m_lapseGraceEnd;
+        zone.isInForce = zone.isLapsing;
+        m_hasLapsing = m_hasLapsing || zone.isLapsing;
     }
     invalidateCandidates();
 }
@@ -221,18 +257,47 @@
 void upstream_directory::advance(monotonic_time now)
 {
     if (m_hasLapsing && now >= m_lapseGraceEnd) {
-        m_hasLapsing = false;
-        for (known_upstream &upstream : m_upstreams) {
-            if (upstream.isLapsing) {
-                unlist(upstream, now);
-                invalidateCandidates();
-            }
+        endLapsing(now);
+    }
+    if (!m_deferred.empty() && now >= m_deferralEnd) {
+        applyDeferred(now);
+    }
+    if (now >= m_nextSweepAt) {
+        m_nextSweepAt = now + sweepInterval;
+        forgetUnlisted(now);
+    }
+}
+
+void upstream_directory::endLapsing(monotonic_time now)
+{
+    m_hasLapsing = false;
+    for (known_upstream &upstream : m_upstreams) {
+        if (upstream.isLapsing) {
+            unlist(upstream, now);
         }
     }
-    if (now < m_nextSweepAt) {
-        return;
+    for (auto &[name, zone] : m_evacuations) {
+        zone.isInForce = zone.isInForce && !zone.isLapsing;
+        zone.isLapsing = false;
     }
-    m_nextSweepAt = now + sweepInterval;
+    invalidateCandidates();
+}
+
+/// Applies the deferred changes that the store still has: the entry of an upstream that does not
+/// live would have expired.
+void upstream_directory::applyDeferred(monotonic_time now)
+{
+    for (const record_change &change : std::exchange(m_deferred, {})) {
+        const auto found = m_byId.find(change.upstreamId);
+        if (found != m_byId.end() && m_upstreams[found->second].revision == change.revision) {
+            m_upstreams[found->second].isFromEarlierEpoch = false;
+            applyUpstream(change, now);
+        }
+    }
+}
+
+void upstream_directory::forgetUnlisted(monotonic_time now)
+{
     for (auto item = m_byId.begin(); item != m_byId.end();) {
         known_upstream &upstream = m_upstreams[item->second];
         if (upstream.isListed || now - upstream.unlistedAt < m_flowLifetime) {
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -38,6 +38,10 @@
 /// upstreams are alive.
 constexpr milliseconds lapseGrace{2200};
 
+/// A host that learns of a new epoch from another host lists the store within this time, at random,
+/// so that not all hosts of a zone list it at once.
+constexpr milliseconds epochListingSpread{300};
+
 /// Greatest assumed time from when the store sends the answer to a watch until it arrives here. The
 /// store may hold the call, so the time of the call alone would make the view look too old.
 constexpr milliseconds maxAnswerAge{150};
@@ -88,7 +92,7 @@
     m_isCallPending = true;
     m_calledAt = now;
     m_maxWait = rank == 0 ? longPollTime : milliseconds(1);
-    return {feed_call::kind::watch, m_revision, m_maxWait};
+    return {feed_call::kind::watch, m_position.revision, m_maxWait};
 }
 
 monotonic_time view_feed::nextDeadline(monotonic_time now, unsigned rank) const
@@ -117,42 +121,74 @@
     m_nextCallAt = now;
 }
 
-void view_feed::confirm(std::uint64_t revision, monotonic_time asOf)
+void view_feed::confirm(const store_position &position, monotonic_time asOf)
 {
-    if (revision >= m_revision) {
-        m_revision = revision;
+    if (!(position < m_position)) {
+        m_position = position;
+        m_newestEpoch = std::max(m_newestEpoch, position.epoch);
         m_confirmedAt = std::max(m_confirmedAt, asOf);
         m_isBehind = false;
     }
 }
 
-void view_feed::onListed(std::uint64_t revision, monotonic_time now)
+bool view_feed::onListed(const store_position &position, monotonic_time now)
 {
+    if (position.epoch < m_newestEpoch) {
+        onFailed(false, now);
+        return false;
+    }
     onAnswered(now);
+    if (m_isLoaded && m_position.epoch < position.epoch) {
+        // The copy lacks the entries of upstreams that registered after it.
+        m_lapseGraceEnd = std::max(m_lapseGraceEnd, now + lapseGrace);
+    }
     m_needsListing = false;
     m_isLoaded = true;
     m_lastReadAt = m_calledAt;
-    confirm(revision, m_calledAt);
+    confirm(position, m_calledAt);
+    return true;
 }
 
-void view_feed::onSnapshot(std::uint64_t revision, milliseconds age, monotonic_time now)
+void view_feed::onSnapshot(const store_position &position, milliseconds age, monotonic_time now)
 {
     m_needsListing = false;
     m_isLoaded = true;
-    confirm(revision, now - age);
+    confirm(position, now - age);
+}
+
+void view_feed::onStoreEpoch(std::uint64_t epoch, monotonic_time now)
+{
+    if (epoch > m_newestEpoch) {
+        m_newestEpoch = epoch;
+        m_needsListing = true;
+        m_nextCallAt = now;
+    }
 }
 
-void view_feed::onWatched(std::uint64_t revision, monotonic_time now)
+void view_feed::onPeerEpoch(std::uint64_t epoch, monotonic_time now)
 {
+    if (epoch > m_newestEpoch) {
+        onStoreEpoch(epoch, now + milliseconds(m_random() % epochListingSpread.count()));
+    }
+}
+
+bool view_feed::onWatched(const store_position &position, monotonic_time now)
+{
+    if (position.epoch != m_position.epoch) {
+        // The answer to a watch that was sent in another epoch lacks changes.
+        onFailed(m_position.epoch < position.epoch, now);
+        return false;
+    }
     onAnswered(now);
-    const bool isNew = revision > m_revision;
+    const bool isNew = m_position < position;
     // The answer may have waited for this process, if it was paused.
     const monotonic_time answeredBy = std::min(now - maxAnswerAge, m_calledAt + m_maxWait);
     m_lastReadAt = std::max(m_calledAt, answeredBy);
-    confirm(revision, m_lastReadAt);
+    confirm(position, m_lastReadAt);
     if (isNew && isUpToDate()) {
         m_nextCallAt = now + batchDelay;
     }
+    return true;
 }
 
 void view_feed::onFailed(bool isHistoryGone, monotonic_time now)
@@ -177,27 +213,33 @@
     m_needsRead = true;
 }
 
-bool view_feed::onRelayedChanges(std::uint64_t after, std::uint64_t revision, milliseconds age,
-                                 milliseconds grace, monotonic_time now)
+bool view_feed::onRelayedChanges(std::uint64_t after, const store_position &position,
+                                 milliseconds age, milliseconds grace, monotonic_time now)
 {
-    if (!m_isLoaded || after > m_revision || revision < m_revision) {
+    if (!m_isLoaded) {
+        return false;
+    }
+    onPeerEpoch(position.epoch, now);
+    if (position.epoch != m_position.epoch || after > m_position.revision
+        || position < m_position) {
         return false;
     }
     m_lapseGraceEnd = std::max(m_lapseGraceEnd, now + grace);
-    const bool isNew = revision > m_revision;
-    confirm(revision, now - age);
+    const bool isNew = m_position < position;
+    confirm(position, now - age);
     return isNew;
 }
 
-void view_feed::onPeerView(std::uint64_t revision, milliseconds age, monotonic_time now)
+void view_feed::onPeerView(const store_position &position, milliseconds age, monotonic_time now)
 {
     if (!m_isLoaded) {
         return;
     }
-    m_maxPeerRevision = std::max(m_maxPeerRevision, revision);
-    if (revision == m_revision) {
-        confirm(revision, now - age);
-    } else if (revision > m_revision && !m_isBehind) {
+    onPeerEpoch(position.epoch, now);
+    m_maxPeerPosition = std::max(m_maxPeerPosition, position);
+    if (position == m_position) {
+        confirm(position, now - age);
+    } else if (position.epoch == m_position.epoch && m_position < position && !m_isBehind) {
         m_isBehind = true;
         m_behindSince = now;
     }
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -398,7 +398,8 @@
             return std::to_string(m_metrics.value(which));
         };
         logEvent("state",
-                 {{"view_revision", std::to_string(m_storeSession->feed().revision())},
+                 {{"view_epoch", std::to_string(m_storeSession->feed().position().epoch)},
+                  {"view_revision", std::to_string(m_storeSession->feed().position().revision)},
                   {"view_age_ms",
                    m_storeSession->feed().isLoaded()
                        ? std::to_string(m_storeSession->feed().age(now).count())
@@ -421,7 +422,8 @@
         if (!due || !m_peerKey) {
             return;
         }
-        due->report.viewRevision = m_storeSession->feed().revision();
+        due->report.viewEpoch = m_storeSession->feed().position().epoch;
+        due->report.viewRevision = m_storeSession->feed().position().revision;
         due->report.viewAge = m_storeSession->feed().lastReadAge(m_clock.monotonic());
         const byte_buffer bytes = encodeEntryMessage(*m_peerKey, due->report);
         count(due->report.isDelta ? entry_counter::newsBytesSent : entry_counter::reportBytesSent,
--- a/src/host/log_reader.cpp
+++ b/src/host/log_reader.cpp
@@ -84,13 +84,21 @@
 /// Whether the event concerns a whole host rather than one flow.
 bool isHostEvent(const log_line &line)
 {
-    static const std::set<std::string> events{"started",           "stopped",
-                                              "leaving",           "froze",
-                                              "store_lost",        "store_regained",
-                                              "config_accepted",   "view_listed",
-                                              "evacuation",        "view_history_gone",
-                                              "send_failed",       "settings_reloaded",
-                                              "settings_rejected", "state"};
+    static const std::set<std::string> events{"started",
+                                              "stopped",
+                                              "leaving",
+                                              "froze",
+                                              "store_lost",
+                                              "store_regained",
+                                              "store_restored",
+                                              "config_accepted",
+                                              "view_listed",
+                                              "evacuation",
+                                              "view_history_gone",
+                                              "send_failed",
+                                              "settings_reloaded",
+                                              "settings_rejected",
+                                              "state"};
     return events.count(line.event) != 0;
 }
 
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -61,12 +61,15 @@
 void store_session::tick()
 {
     const monotonic_time now = m_clock.monotonic();
+    m_feed.onStoreEpoch(m_store->epoch(), now);
     startCall(m_feed.nextCall(now, rank()));
     if (!m_feed.isLoaded() && now >= m_nextSeedRequest && !m_isStoreReachable) {
         requestViewFromSeeds(now);
     }
     if (m_feed.takeDuePull(now)) {
-        m_environment.sendToPeer(m_newerPeer, view_pull{m_feed.revision(), m_self.peerAddress});
+        m_environment.sendToPeer(
+            m_newerPeer,
+            view_pull{m_feed.position().revision, m_self.peerAddress, m_feed.position().epoch});
         m_newerPeerZone.clear();
     }
     if (m_feed.isLoaded() && !m_isAnnouncementPending && !m_isWithdrawn
@@ -106,7 +109,8 @@
             {{"call", call},
              {"reason", std::string(toText(error.code))},
              {"problem", error.problem},
-             {"view_revision", std::to_string(m_feed.revision())},
+             {"view_epoch", std::to_string(m_feed.position().epoch)},
+             {"view_revision", std::to_string(m_feed.position().revision)},
              {"view_age_ms",
               m_feed.isLoaded() ? std::to_string(m_feed.age(m_clock.monotonic()).count())
                                 : std::string("none")}});
@@ -118,10 +122,21 @@
     if (!m_isStoreReachable) {
         m_isStoreReachable = true;
         m_environment.logEvent("store_regained",
-                               {{"view_revision", std::to_string(m_feed.revision())}});
+                               {{"view_epoch", std::to_string(m_feed.position().epoch)},
+                                {"view_revision", std::to_string(m_feed.position().revision)}});
     }
 }
 
+void store_session::recordRestoration(const store_position &view)
+{
+    m_environment.count(entry_counter::storeRestorations, 1);
+    m_environment.logEvent("store_restored",
+                           {{"view_epoch", std::to_string(view.epoch)},
+                            {"view_revision", std::to_string(view.revision)},
+                            {"epoch", std::to_string(m_feed.position().epoch)},
+                            {"revision", std::to_string(m_feed.position().revision)}});
+}
+
 void store_session::applyChanges(const std::vector<record_change> &records)
 {
     m_core.keepLapsedUntil(m_feed.lapseGraceEnd());
@@ -139,9 +154,7 @@
         const bool isOwn = change.kind == record_kind::host && change.name == m_self.name;
         if (isOwn && std::holds_alternative<record_change::removed>(change.content)
             && m_isAnnounced) {
-            m_isAnnounced = false;
-            m_leaseId = 0;
-            m_nextAnnouncement = m_clock.monotonic();
+            loseAnnouncement();
         }
     }
 }
@@ -180,11 +193,20 @@
     }
     const auto &listing = std::get<store_records>(reply);
     const bool isFirst = !m_feed.isLoaded();
-    m_feed.onListed(listing.revision, now);
+    const store_position previous = m_feed.position();
+    if (!m_feed.onListed({listing.epoch, listing.revision}, now)) {
+        return;
+    }
     recordSuccess();
+    if (!isFirst && previous.epoch < listing.epoch) {
+        recordRestoration(previous);
+        m_core.onStoreRestored();
+    }
     applyListing(listing);
+    announceIfMissing(listing.records);
     m_environment.logEvent("view_listed",
-                           {{"revision", std::to_string(listing.revision)},
+                           {{"epoch", std::to_string(listing.epoch)},
+                            {"revision", std::to_string(listing.revision)},
                             {"records", std::to_string(listing.records.size())},
                             {"first", isFirst ? "1" : "0"}});
     offerKeyIfMissing(listing.records);
@@ -215,8 +237,11 @@
     if (hasKey) {
         return;
     }
-    shared_key key;
-    randombytes_buf(key.key.data(), key.key.size());
+    // A store that was restored may lack the key that the hosts use.
+    shared_key key{m_environment.key()};
+    if (key.key == peer_key{}) {
+        randombytes_buf(key.key.data(), key.key.size());
+    }
     m_store->offerKey(key, [this, key](store_reply<std::monostate> reply) {
         const auto *error = std::get_if<store_error>(&reply);
         if (error == nullptr) {
@@ -242,7 +267,10 @@
         return;
     }
     auto &events = std::get<store_records>(reply);
-    m_feed.onWatched(events.revision, now);
+    if (!m_feed.onWatched({events.epoch, events.revision}, now)) {
+        tick();
+        return;
+    }
     recordSuccess();
     const std::vector<record_change> relayed = recordsToRelay(events.records);
     applyChanges(events.records);
@@ -252,7 +280,8 @@
     }
     // Relayed even without changes, because it confirms the other hosts' views.
     const milliseconds grace = std::max(milliseconds::zero(), m_feed.lapseGraceEnd() - now);
-    const view_changes changes{after, events.revision, m_feed.lastReadAge(now), grace, relayed};
+    const view_changes changes{after, events.revision, m_feed.lastReadAge(now),
+                               grace, relayed,         events.epoch};
     if (m_feed.mayRelay(rank())) {
         for (const view_changes &part : splitBySize(changes, viewChangesPartBytes)) {
             m_environment.relay(part);
@@ -278,9 +307,9 @@
 void store_session::onRelayedChanges(const view_changes &changes)
 {
     const monotonic_time now = m_clock.monotonic();
-    const std::uint64_t before = m_feed.revision();
-    if (m_feed.onRelayedChanges(changes.after, changes.revision, changes.age + maxMessageDelay(),
-                                changes.grace, now)) {
+    const std::uint64_t before = m_feed.position().revision;
+    if (m_feed.onRelayedChanges(changes.after, {changes.epoch, changes.revision},
+                                changes.age + maxMessageDelay(), changes.grace, now)) {
         applyChanges(changes.records);
         addToHistory(std::max(before, changes.after), changes.revision, changes.records);
     }
@@ -289,6 +318,9 @@
 
 void store_session::onPull(const view_pull &pull)
 {
+    if (pull.epoch != m_feed.position().epoch) {
+        return;
+    }
     // The history has no gaps: it has all changes from the one that follows the requested revision.
     const auto first = std::find_if(m_history.begin(), m_history.end(), [&](const auto &change) {
         return change.after <= pull.after && pull.after < change.revision;
@@ -297,7 +329,8 @@
         return;
     }
     const monotonic_time now = m_clock.monotonic();
-    view_changes changes{pull.after, pull.after, m_feed.lastReadAge(now), milliseconds::zero(), {}};
+    view_changes changes{pull.after,           pull.after, m_feed.lastReadAge(now),
+                         milliseconds::zero(), {},         pull.epoch};
     for (auto change = first; change != m_history.end(); ++change) {
         if (change->after > changes.revision) {
             break;
@@ -332,7 +365,8 @@
     view_snapshot snapshot;
     snapshot.nonce = request.nonce;
     snapshot.key = m_environment.key();
-    snapshot.revision = m_feed.revision();
+    snapshot.revision = m_feed.position().revision;
+    snapshot.epoch = m_feed.position().epoch;
     snapshot.age = m_feed.age(m_clock.monotonic());
     snapshot.records = m_core.snapshot();
     m_environment.sendUnsigned(from, snapshot);
@@ -344,34 +378,55 @@
         return;
     }
     m_environment.adoptKey(snapshot.key);
-    m_feed.onSnapshot(snapshot.revision, snapshot.age + maxMessageDelay(), m_clock.monotonic());
-    applyListing(store_records{snapshot.records, snapshot.revision});
+    m_feed.onSnapshot({snapshot.epoch, snapshot.revision}, snapshot.age + maxMessageDelay(),
+                      m_clock.monotonic());
+    applyListing(store_records{snapshot.records, snapshot.revision, snapshot.epoch});
     m_environment.logEvent("view_from_seed",
-                           {{"revision", std::to_string(snapshot.revision)},
+                           {{"epoch", std::to_string(snapshot.epoch)},
+                            {"revision", std::to_string(snapshot.revision)},
                             {"records", std::to_string(snapshot.records.size())},
                             {"age_ms", std::to_string(snapshot.age.count())}});
 }
 
 void store_session::onPeerReport(const peer_report &report)
 {
-    const bool isAhead = report.viewRevision > m_feed.revision();
+    const store_position position{report.viewEpoch, report.viewRevision};
+    const bool isAhead = m_feed.position() < position;
     // Prefers hosts of the own zone: traffic between zones is slower and costs more, and a host of
     // the own zone that reads the store has the newer view soon as well.
     if (isAhead && (report.sender.zone == m_self.zone || m_newerPeerZone != m_self.zone)) {
         m_newerPeer = report.sender.peerAddress;
         m_newerPeerZone = report.sender.zone;
     }
-    m_feed.onPeerView(report.viewRevision, report.viewAge + maxMessageDelay(), m_clock.monotonic());
+    m_feed.onPeerView(position, report.viewAge + maxMessageDelay(), m_clock.monotonic());
     m_core.onViewConfirmed(m_feed.confirmedAt());
 }
 
+void store_session::announceIfMissing(const std::vector<record_change> &listing)
+{
+    const bool isListed = std::any_of(listing.begin(), listing.end(), [this](const auto &change) {
+        const auto *host = std::get_if<host_record>(&change.content);
+        return host != nullptr && host->name == m_self.name
+            && host->incarnation == m_self.incarnation;
+    });
+    if (!isListed && m_isAnnounced) {
+        loseAnnouncement();
+    }
+}
+
+void store_session::loseAnnouncement()
+{
+    // The lease is not ended: after a restoration its id may be that of another host's lease.
+    m_isAnnounced = false;
+    m_leaseId = 0;
+    m_nextAnnouncement = m_clock.monotonic();
+}
+
 void store_session::onAnnouncementFailed(const char *call, const store_error &error)
 {
     m_isAnnouncementPending = false;
     if (error.code == store_error::reason::leaseGone) {
-        m_leaseId = 0;
-        m_isAnnounced = false;
-        m_nextAnnouncement = m_clock.monotonic();
+        loseAnnouncement();
         return;
     }
     recordFailure(call, error);
@@ -399,13 +454,16 @@
             return;
         }
         m_isAnnouncementPending = false;
-        m_isAnnounced = true;
-        m_nextAnnouncement = m_clock.monotonic() + m_announcementTtl / renewalsPerTtl;
+        // A renewal succeeds as well if the announcement was lost while it was pending.
+        m_nextAnnouncement = m_clock.monotonic()
+            + (m_isAnnounced ? m_announcementTtl / renewalsPerTtl : milliseconds::zero());
     };
     if (!m_isAnnounced) {
-        m_store->announce(m_self, m_leaseId, [onDone](const store_reply<std::monostate> &reply) {
+        const auto onAnnounced = [this, onDone](const store_reply<std::monostate> &reply) {
+            m_isAnnounced = std::holds_alternative<std::monostate>(reply);
             onDone("announce", reply);
-        });
+        };
+        m_store->announce(m_self, m_leaseId, onAnnounced);
     } else {
         m_store->renewLease(m_leaseId, [onDone](const store_reply<std::monostate> &reply) {
             onDone("renew_lease", reply);
--- a/src/store/http_connection.cpp
+++ b/src/store/http_connection.cpp
@@ -157,7 +157,7 @@
     void finish()
     {
         auto &message = m_parser->get();
-        http_response response{message.result_int(), std::move(message.body())};
+        http_response response{message.result_int(), std::move(message.body()), message.base()};
         if (message.keep_alive() && m_stream) {
             m_stream->expires_never();
         } else {
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -198,7 +198,8 @@
 json toJson(const upstream_record &entry)
 {
     return json::array({toString(entry.address), entry.service, entry.zone, entry.slots,
-                        entry.isDraining, entry.coldFor.count(), entry.startedAtMs});
+                        entry.isDraining, entry.coldFor.count(), entry.startedAtMs,
+                        entry.sequence});
 }
 
 upstream_record upstreamFrom(std::uint64_t id, const json &value)
@@ -212,6 +213,7 @@
     entry.isDraining = value.at(4).get<bool>();
     entry.coldFor = durationFrom(value.at(5));
     entry.startedAtMs = integerFrom<std::int64_t>(value.at(6), maxUnixMs);
+    entry.sequence = value.size() > 7 ? integerFrom<std::uint64_t>(value.at(7)) : 0;
     return entry;
 }
 
@@ -231,6 +233,12 @@
     return key;
 }
 
+/// Reads the epoch that older hosts do not send as the last element.
+std::uint64_t epochFrom(const json &message, std::size_t index)
+{
+    return message.size() > index ? integerFrom<std::uint64_t>(message.at(index)) : 0;
+}
+
 /// Converts the content of a change to JSON. The index of the variant is encoded separately.
 struct content_writer
 {
@@ -326,7 +334,7 @@
     json operator()(const view_snapshot &snapshot) const
     {
         return json::array({snapshotKind, snapshot.nonce, toJson(snapshot.key), snapshot.revision,
-                            snapshot.age.count(), toJson(snapshot.records)});
+                            snapshot.age.count(), toJson(snapshot.records), snapshot.epoch});
     }
 };
 
@@ -337,9 +345,12 @@
         return view_request{integerFrom<std::uint64_t>(value.at(1)),
                             value.at(2).get<std::string>()};
     case snapshotKind:
-        return view_snapshot{integerFrom<std::uint64_t>(value.at(1)), keyFrom(value.at(2)),
-                             integerFrom<std::uint64_t>(value.at(3)), durationFrom(value.at(4)),
-                             recordsFrom(value.at(5))};
+        return view_snapshot{integerFrom<std::uint64_t>(value.at(1)),
+                             keyFrom(value.at(2)),
+                             integerFrom<std::uint64_t>(value.at(3)),
+                             durationFrom(value.at(4)),
+                             recordsFrom(value.at(5)),
+                             epochFrom(value, 6)};
     default:
         throwDecodeError("message kind is unknown", value);
     }
@@ -351,16 +362,17 @@
     {
         return json::array({reportKind, toJson(report.sender), report.sequence, report.isLeaving,
                             report.viewRevision, report.viewAge.count(), report.configVersion,
-                            encodeRows(report.rows), report.isDelta, report.newFlowsPerSecond});
+                            encodeRows(report.rows), report.isDelta, report.newFlowsPerSecond,
+                            report.viewEpoch});
     }
     json operator()(const view_changes &changes) const
     {
         return json::array({changesKind, changes.after, changes.revision, changes.age.count(),
-                            changes.grace.count(), toJson(changes.records)});
+                            changes.grace.count(), toJson(changes.records), changes.epoch});
     }
     json operator()(const view_pull &pull) const
     {
-        return json::array({pullKind, pull.after, toString(pull.replyTo)});
+        return json::array({pullKind, pull.after, toString(pull.replyTo), pull.epoch});
     }
 };
 
@@ -378,6 +390,7 @@
         report.rows = decodeRows(value.at(7).get_binary());
         report.isDelta = value.size() > 8 && value.at(8).get<bool>();
         report.newFlowsPerSecond = value.size() > 9 ? countFrom(value.at(9)) : 0;
+        report.viewEpoch = epochFrom(value, 10);
         return report;
     }
     case changesKind: {
@@ -387,10 +400,12 @@
         changes.age = durationFrom(value.at(3));
         changes.grace = durationFrom(value.at(4));
         changes.records = recordsFrom(value.at(5));
+        changes.epoch = epochFrom(value, 6);
         return changes;
     }
     case pullKind:
-        return view_pull{integerFrom<std::uint64_t>(value.at(1)), endpointFrom(value.at(2))};
+        return view_pull{integerFrom<std::uint64_t>(value.at(1)), endpointFrom(value.at(2)),
+                         epochFrom(value, 3)};
     default:
         throwDecodeError("message kind is unknown", value);
     }
--- a/tests/core/upstream_directory_test.cpp
+++ b/tests/core/upstream_directory_test.cpp
@@ -169,3 +169,109 @@
     directory.retain(listing, 12, ms(1200));
     CHECK(candidates() == 1);
 }
+
+namespace {
+
+/// An upstream whose entry was last written with sequence number 9, in a store that is restored
+/// from an older copy at time 2000. The grace period for missing entries ends at 4200.
+struct upstream_of_restored_store : public one_upstream
+{
+    void restore(const std::vector<record_change> &copy)
+    {
+        directory.keepLapsedUntil(ms(4200));
+        directory.onStoreRestored(ms(6800));
+        for (const record_change &change : copy) {
+            directory.apply(change, ms(2000), milliseconds(0));
+        }
+        directory.retain(copy, 8, ms(2000));
+    }
+    static record_change written(std::uint64_t sequence, std::uint64_t revision,
+                                 bool isDraining = false, std::int64_t startedAtMs = 1000)
+    {
+        record_change change = entry(revision, isDraining);
+        std::get<upstream_record>(change.content).sequence = sequence;
+        std::get<upstream_record>(change.content).startedAtMs = startedAtMs;
+        return change;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(upstream_of_restored_store,
+                  "upstream_directory: draining, restored as ready: stays draining")
+{
+    directory.apply(written(9, 12, true), ms(1100), milliseconds(0));
+    restore({written(5, 4)});
+    CHECK(candidates() == 0);
+    directory.advance(ms(10000));
+    CHECK(candidates() == 0);
+    CHECK(known().isListed);
+    SUBCASE("its removal in the restored store counts")
+    {
+        directory.apply(removal(9), ms(10000), milliseconds(0));
+        CHECK_FALSE(known().isListed);
+    }
+    SUBCASE("its next start counts")
+    {
+        directory.apply(written(1, 9, false, 9000), ms(10000), milliseconds(0));
+        CHECK(candidates() == 1);
+    }
+}
+
+TEST_CASE_FIXTURE(upstream_of_restored_store,
+                  "upstream_directory: entry restored and written again: the last one counts")
+{
+    directory.apply(written(9, 12), ms(1100), milliseconds(0));
+    restore({written(5, 4)});
+    CHECK(candidates() == 1);
+    directory.apply(written(9, 6), ms(2100), milliseconds(0));
+    directory.apply(written(10, 9, true), ms(2200), milliseconds(0));
+    CHECK(candidates() == 0);
+}
+
+TEST_CASE_FIXTURE(upstream_of_restored_store,
+                  "upstream_directory: gone, restored as ready: no candidate until it has surely "
+                  "written again")
+{
+    directory.apply(written(9, 12), ms(1100), milliseconds(0));
+    directory.apply(removal(13), ms(1200), milliseconds(0));
+    restore({written(9, 4)});
+    directory.advance(ms(6700));
+    CHECK(candidates() == 0);
+    SUBCASE("the entry expires")
+    {
+        directory.apply(removal(9), ms(6700), milliseconds(0));
+        directory.advance(ms(10000));
+        CHECK(candidates() == 0);
+    }
+    SUBCASE("the entry stands longer than that of a silent upstream")
+    {
+        directory.advance(ms(6800));
+        CHECK(candidates() == 1);
+    }
+    SUBCASE("the upstream writes again")
+    {
+        directory.apply(written(10, 9), ms(6700), milliseconds(0));
+        CHECK(candidates() == 1);
+    }
+}
+
+TEST_CASE_FIXTURE(upstream_of_restored_store,
+                  "upstream_directory: evacuation requested after the copy: in force until it can "
+                  "be back")
+{
+    directory.apply(evacuation(12, false), ms(1100), milliseconds(0));
+    restore({entry(4)});
+    CHECK(candidates() == 0);
+    SUBCASE("it is requested again")
+    {
+        directory.apply(evacuation(9, false), ms(3000), milliseconds(0));
+        directory.advance(ms(10000));
+        CHECK(candidates() == 0);
+    }
+    SUBCASE("it is not")
+    {
+        directory.advance(ms(4200));
+        CHECK(candidates() == 1);
+    }
+}
--- a/tests/core/view_feed_test.cpp
+++ b/tests/core/view_feed_test.cpp
@@ -1,6 +1,7 @@
 #include "figstair/core/view_feed.h"
 
 #include <deque>
+#include <set>
 
 #include <doctest/doctest.h>
 
@@ -13,13 +14,18 @@
     return monotonic_time(milliseconds(100000 + value));
 }
 
+store_position at(std::uint64_t revision)
+{
+    return {1, revision};
+}
+
 /// A feed that has listed the store at revision 50 at time 0.
 struct listed_feed
 {
     listed_feed()
     {
         CHECK(feed.nextCall(ms(0), 0).operation == feed_call::kind::list);
-        feed.onListed(50, ms(0));
+        feed.onListed(at(50), ms(0));
     }
 
     view_feed feed{1};
@@ -35,7 +41,7 @@
     CHECK(call.operation == feed_call::kind::watch);
     CHECK(call.afterRevision == 50);
     CHECK(feed.nextCall(ms(2), 0).operation == feed_call::kind::none);
-    feed.onWatched(53, ms(300));
+    feed.onWatched(at(53), ms(300));
     CHECK(feed.nextCall(ms(301), 0).operation == feed_call::kind::none);
     CHECK(feed.nextCall(ms(501), 0).afterRevision == 53);
 }
@@ -47,7 +53,7 @@
 {
     const feed_call call = feed.nextCall(ms(1), 0);
     constexpr std::int64_t resumedAt = 10000;
-    feed.onWatched(53, ms(resumedAt));
+    feed.onWatched(at(53), ms(resumedAt));
     const monotonic_time latestAnswer = ms(1) + call.maxWait;
     CHECK(feed.lastReadAge(ms(resumedAt)) >= ms(resumedAt) - latestAnswer);
     CHECK(feed.age(ms(resumedAt)) >= ms(resumedAt) - latestAnswer);
@@ -63,11 +69,11 @@
     SUBCASE("noticed before the answer is read")
     {
         feed.onFreeze(suspension);
-        feed.onWatched(53, ms(300));
+        feed.onWatched(at(53), ms(300));
     }
     SUBCASE("noticed after the answer is read")
     {
-        feed.onWatched(53, ms(300));
+        feed.onWatched(at(53), ms(300));
         feed.onFreeze(suspension);
     }
     const milliseconds leastAge = suspension - call.maxWait;
@@ -78,7 +84,7 @@
 TEST_CASE_FIXTURE(listed_feed, "view_feed: another host: reads only when its view is too old")
 {
     CHECK(feed.nextCall(ms(1000), 1).operation == feed_call::kind::none);
-    feed.onPeerView(50, milliseconds(100), ms(1000));
+    feed.onPeerView(at(50), milliseconds(100), ms(1000));
     CHECK(feed.nextCall(ms(2000), 1).operation == feed_call::kind::none);
     CHECK(feed.nextCall(ms(2600), 1).operation == feed_call::kind::watch);
 }
@@ -95,28 +101,77 @@
 
 TEST_CASE_FIXTURE(listed_feed, "view_feed: changes passed on: applied only without a gap")
 {
-    CHECK(feed.onRelayedChanges(50, 52, milliseconds(5), milliseconds(0), ms(100)));
-    CHECK(feed.revision() == 52);
-    CHECK_FALSE(feed.onRelayedChanges(53, 54, milliseconds(5), milliseconds(0), ms(110)));
-    CHECK(feed.revision() == 52);
-    CHECK_FALSE(feed.onRelayedChanges(50, 52, milliseconds(5), milliseconds(0), ms(120)));
-    CHECK(feed.onRelayedChanges(51, 55, milliseconds(5), milliseconds(0), ms(130)));
-    CHECK(feed.revision() == 55);
+    CHECK(feed.onRelayedChanges(50, at(52), milliseconds(5), milliseconds(0), ms(100)));
+    CHECK(feed.position().revision == 52);
+    CHECK_FALSE(feed.onRelayedChanges(53, at(54), milliseconds(5), milliseconds(0), ms(110)));
+    CHECK(feed.position().revision == 52);
+    CHECK_FALSE(feed.onRelayedChanges(50, at(52), milliseconds(5), milliseconds(0), ms(120)));
+    CHECK(feed.onRelayedChanges(51, at(55), milliseconds(5), milliseconds(0), ms(130)));
+    CHECK(feed.position().revision == 55);
 }
 
 TEST_CASE_FIXTURE(listed_feed,
                   "view_feed: others have a newer view: changes requested from them, then read")
 {
-    feed.onPeerView(60, milliseconds(0), ms(100));
+    feed.onPeerView(at(60), milliseconds(0), ms(100));
     CHECK_FALSE(feed.takeDuePull(ms(110)));
     CHECK(feed.takeDuePull(ms(230)));
     CHECK_FALSE(feed.takeDuePull(ms(240)));
     CHECK(feed.nextCall(ms(300), 3).operation == feed_call::kind::none);
     CHECK(feed.nextCall(ms(600), 3).operation == feed_call::kind::watch);
-    feed.onWatched(60, ms(610));
+    feed.onWatched(at(60), ms(610));
     CHECK_FALSE(feed.takeDuePull(ms(900)));
 }
 
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: an answer states a new epoch: listed at once, revisions start anew")
+{
+    feed.onStoreEpoch(2, ms(100));
+    CHECK(feed.nextCall(ms(100), 3).operation == feed_call::kind::list);
+    CHECK(feed.onListed({2, 40}, ms(110)));
+    CHECK(feed.position() == store_position{2, 40});
+    CHECK(feed.lapseGraceEnd() > ms(2000));
+    CHECK_FALSE(feed.onRelayedChanges(50, {1, 60}, milliseconds(5), milliseconds(0), ms(120)));
+    feed.onPeerView({1, 60}, milliseconds(0), ms(130));
+    CHECK_FALSE(feed.takeDuePull(ms(400)));
+    CHECK(feed.isUpToDate());
+}
+
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: hosts report a new epoch: their listings are spread, within the "
+                  "tightest bound")
+{
+    std::set<std::int64_t> times;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        view_feed host{seed};
+        host.nextCall(ms(0), 5);
+        host.onListed(at(50), ms(0));
+        host.onPeerView({2, 10}, milliseconds(0), ms(100));
+        std::int64_t now = 100;
+        while (host.nextCall(ms(now), 5).operation == feed_call::kind::none) {
+            now += 10;
+        }
+        times.insert(now);
+    }
+    CHECK(times.size() > 5);
+    CHECK(*times.rbegin() + 900 < 3000);
+}
+
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: the store answers in an older epoch than hosts report: calls pause")
+{
+    feed.onPeerView({2, 10}, milliseconds(0), ms(100));
+    int calls = 0;
+    for (std::int64_t now = 100; now < 5100; now += 10) {
+        if (feed.nextCall(ms(now), 5).operation != feed_call::kind::none) {
+            ++calls;
+            CHECK_FALSE(feed.onListed(at(60), ms(now)));
+        }
+    }
+    CHECK(calls >= 3);
+    CHECK(calls <= 20);
+}
+
 TEST_CASE_FIXTURE(listed_feed, "view_feed: history gone: the store is listed at once")
 {
     feed.nextCall(ms(1), 0);
@@ -144,7 +199,7 @@
     while (feed.nextCall(ms(now), 0).operation == feed_call::kind::none) {
         now += 10;
     }
-    feed.onWatched(70, ms(now));
+    feed.onWatched(at(70), ms(now));
     // Expired entries are back within about 2 s of the end of the outage.
     CHECK(feed.lapseGraceEnd() >= ms(now + 2000));
     CHECK(feed.lapseGraceEnd() <= ms(now + 2500));
@@ -152,7 +207,7 @@
 
 TEST_CASE_FIXTURE(listed_feed, "view_feed: a relayed grace period: applies here too")
 {
-    CHECK(feed.onRelayedChanges(50, 52, milliseconds(5), milliseconds(1500), ms(100)));
+    CHECK(feed.onRelayedChanges(50, at(52), milliseconds(5), milliseconds(1500), ms(100)));
     CHECK(feed.lapseGraceEnd() == ms(1600));
 }
 
@@ -164,15 +219,15 @@
     view_feed second(2);
     for (view_feed *feed : {&first, &second}) {
         feed->nextCall(ms(0), 1);
-        feed->onListed(50, ms(0));
+        feed->onListed(at(50), ms(0));
     }
     std::int64_t now = 0;
     std::deque<std::pair<milliseconds, milliseconds>> inTransit;
     while (first.nextCall(ms(now), 1).operation == feed_call::kind::none && now < 10000) {
         inTransit.emplace_back(first.lastReadAge(ms(now)), second.lastReadAge(ms(now)));
         if (inTransit.size() > messageDelayMs / 20) {
-            second.onPeerView(50, inTransit.front().first, ms(now));
-            first.onPeerView(50, inTransit.front().second, ms(now));
+            second.onPeerView(at(50), inTransit.front().first, ms(now));
+            first.onPeerView(at(50), inTransit.front().second, ms(now));
             inTransit.pop_front();
         }
         now += 20;
@@ -184,13 +239,13 @@
     listed_feed,
     "view_feed: a batch that ends before the revision of others: the next follows without delay")
 {
-    feed.onPeerView(2000, milliseconds(50), ms(10));
+    feed.onPeerView(at(2000), milliseconds(50), ms(10));
     CHECK_FALSE(feed.isUpToDate());
     REQUIRE(feed.nextCall(ms(600), 5).operation == feed_call::kind::watch);
-    feed.onWatched(550, ms(650));
+    feed.onWatched(at(550), ms(650));
     CHECK_FALSE(feed.isUpToDate());
-    feed.onPeerView(2000, milliseconds(50), ms(651));
+    feed.onPeerView(at(2000), milliseconds(50), ms(651));
     REQUIRE(feed.nextCall(ms(1101), 5).operation == feed_call::kind::watch);
-    feed.onWatched(2000, ms(1200));
+    feed.onWatched(at(2000), ms(1200));
     CHECK(feed.isUpToDate());
 }
--- a/tests/fuzz/fuzzed_host.cpp
+++ b/tests/fuzz/fuzzed_host.cpp
@@ -66,6 +66,7 @@
     void endLease(std::uint64_t, store_handler<std::monostate>) override { }
     void announce(const host_record &, std::uint64_t, store_handler<std::monostate>) override { }
     void offerKey(const shared_key &, store_handler<std::monostate>) override { }
+    std::uint64_t epoch() const override { return 0; }
     std::uint64_t takeCallCount() override { return 0; }
 
 private:
@@ -135,8 +136,8 @@
     }
     advance(milliseconds(500));
     m_session->onPull(view_pull{listedRevision, endpoint{}});
-    encodeUnsigned(
-        view_snapshot{1, key, m_session->feed().revision(), milliseconds(0), m_core.snapshot()});
+    encodeUnsigned(view_snapshot{1, key, m_session->feed().position().revision, milliseconds(0),
+                                 m_core.snapshot()});
 }
 
 } // namespace figstair
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -39,12 +39,15 @@
         announcementLeases.push_back(lease);
         announcements.push_back(std::move(handler));
     }
-    void offerKey(const shared_key &, store_handler<std::monostate> handler) override
+    void offerKey(const shared_key &key, store_handler<std::monostate> handler) override
     {
+        offeredKeys.push_back(key);
         offers.push_back(std::move(handler));
     }
+    std::uint64_t epoch() const override { return storeEpoch; }
     std::uint64_t takeCallCount() override { return 0; }
 
+    std::uint64_t storeEpoch = 0; ///< that answers state
     std::vector<store_handler<store_records>> lists;
     std::vector<store_handler<store_records>> watches;
     std::vector<std::uint64_t> watchedAfter;
@@ -52,6 +55,7 @@
     std::vector<store_handler<std::monostate>> renewals;
     std::vector<store_handler<std::monostate>> announcements;
     std::vector<store_handler<std::monostate>> offers;
+    std::vector<shared_key> offeredKeys;
     std::vector<std::uint64_t> announcementLeases;
     std::vector<std::uint64_t> endedLeases;
 };
@@ -121,12 +125,12 @@
     {
         REQUIRE_FALSE(store->lists.empty());
         const auto handler = std::exchange(store->lists.back(), {});
-        handler(store_records{std::move(records), revision});
+        handler(store_records{std::move(records), revision, store->storeEpoch});
     }
     void answerWatch(std::uint64_t revision, std::vector<record_change> records)
     {
         const auto handler = std::exchange(store->watches.back(), {});
-        handler(store_records{std::move(records), revision});
+        handler(store_records{std::move(records), revision, store->storeEpoch});
         advance(300);
     }
     void failWatch(store_error::reason code)
@@ -227,7 +231,7 @@
     session->onRelayedChanges(
         view_changes{30, 31, milliseconds(1), milliseconds(0), {upstreamChange(6, 31)}});
     CHECK(candidates() == 1);
-    CHECK(session->feed().revision() == 24);
+    CHECK(session->feed().position().revision == 24);
 }
 
 TEST_CASE_FIXTURE(
@@ -326,7 +330,7 @@
     snapshot.nonce = request.nonce;
     session->onSnapshot(snapshot);
     CHECK(candidates() == 1);
-    CHECK(session->feed().revision() == 40);
+    CHECK(session->feed().position().revision == 40);
     CHECK(environment.keys.back() == peer_key{9});
     snapshot.records.clear();
     session->onSnapshot(snapshot);
@@ -393,7 +397,7 @@
     answerWatch(2020, zoneRecoveryChanges());
     deliver(environment.relayed, other);
     CHECK(other.candidates() == 2000);
-    CHECK(other.session->feed().revision() == 2020);
+    CHECK(other.session->feed().position().revision == 2020);
 }
 
 TEST_CASE_FIXTURE(
@@ -561,3 +565,207 @@
     answerWatch(22, {});
     CHECK(store->watches.size() == 1);
 }
+
+namespace {
+
+record_change hostChange(const host_record &host, std::uint64_t revision)
+{
+    record_change change;
+    change.kind = record_kind::host;
+    change.name = host.name;
+    change.revision = revision;
+    change.content = host;
+    return change;
+}
+
+record_change configChange(std::uint64_t version, std::uint64_t revision)
+{
+    route_config config;
+    config.version = version;
+    record_change change;
+    change.revision = revision;
+    change.content = config;
+    return change;
+}
+
+/// A host that is announced, with a view at revision 31 of epoch 1, in which the upstreams 1 and 2
+/// and the version 11 of the configuration were written.
+struct session_before_restoration : public session_with_store
+{
+    session_before_restoration()
+    {
+        store->storeEpoch = 1;
+        start(30, {configChange(8, 5), upstreamChange(1, 10), upstreamChange(2, 30)});
+        store->grants.back()(std::uint64_t{77});
+        store->announcements.back()(std::monostate{});
+        answerWatch(31, {configChange(11, 31)});
+        REQUIRE(store->watches.back());
+    }
+
+    /// The store returns from a copy, and its clients learn of it by the answer to the watch.
+    void restore(std::uint64_t epoch)
+    {
+        store->storeEpoch = epoch;
+        failWatch(store_error::reason::historyGone);
+        REQUIRE(store->lists.back());
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: the store is restored and assigns revisions again: changes with "
+                  "known revisions are applied")
+{
+    restore(2);
+    answerList(30, {configChange(11, 30), upstreamChange(1, 10), upstreamChange(2, 29)});
+    CHECK(session->feed().position() == store_position{2, 30});
+    advance(300);
+    CHECK(store->watchedAfter.back() == 30);
+    answerWatch(31, {configChange(14, 31), upstreamChange(2, 31, true)});
+    CHECK(core->configVersion() == 14);
+    advance(3000);
+    CHECK(candidates() == 1);
+}
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: the store is restored and has reached the known revision again: "
+                  "an answer of the new epoch is not taken as the changes since then")
+{
+    store->storeEpoch = 2;
+    answerWatch(40, {upstreamChange(3, 40)});
+    CHECK(candidates() == 2);
+    CHECK(session->feed().position() == store_position{1, 31});
+    answerList(40, {configChange(14, 35), upstreamChange(3, 40)});
+    CHECK(core->configVersion() == 14);
+    CHECK(session->feed().position() == store_position{2, 40});
+}
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: any answer of a restored store: lists it at once")
+{
+    advance(10000);
+    REQUIRE_FALSE(store->renewals.empty());
+    failWatch(store_error::reason::unreachable);
+    const std::size_t lists = store->lists.size();
+    store->storeEpoch = 2;
+    store->renewals.back()(std::monostate{});
+    advance(10);
+    CHECK(store->lists.size() == lists + 1);
+}
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: another host has a view of the restored store: lists it, and "
+                  "takes no changes of another epoch")
+{
+    SUBCASE("by a report")
+    {
+        peer_report report;
+        report.sender = host_record{"h2", "z", endpoint{{}, 2}, 1, 0};
+        report.viewEpoch = 2;
+        report.viewRevision = 20;
+        session->onPeerReport(report);
+    }
+    SUBCASE("by relayed changes")
+    {
+        session->onRelayedChanges(
+            view_changes{31, 32, milliseconds(1), milliseconds(0), {upstreamChange(3, 32)}, 2});
+    }
+    CHECK(candidates() == 2);
+    failWatch(store_error::reason::unreachable);
+    const std::size_t lists = store->lists.size();
+    advance(400);
+    CHECK(store->lists.size() == lists + 1);
+}
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: changes of an epoch that is over: neither applied nor sent")
+{
+    restore(2);
+    answerList(30, {upstreamChange(1, 10), upstreamChange(2, 29)});
+    session->onRelayedChanges(
+        view_changes{30, 33, milliseconds(1), milliseconds(0), {upstreamChange(3, 33)}, 1});
+    CHECK(candidates() == 2);
+    answerWatch(31, {upstreamChange(4, 31)});
+    environment.sentToPeers.clear();
+    session->onPull(view_pull{30, {}, 1});
+    CHECK(environment.sentToPeers.empty());
+    session->onPull(view_pull{30, {}, 2});
+    REQUIRE(environment.sentToPeers.size() == 1);
+    CHECK(std::get<view_changes>(environment.sentToPeers.back()).epoch == 2);
+}
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: a listing of an epoch that is over arrives late: listed again")
+{
+    restore(1);
+    store->storeEpoch = 2;
+    const auto handler = std::exchange(store->lists.back(), {});
+    const std::size_t lists = store->lists.size();
+    advance(10);
+    handler(store_records{{upstreamChange(9, 40)}, 40, 1});
+    CHECK(candidates() == 2);
+    advance(300);
+    CHECK(store->lists.size() == lists + 1);
+}
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: the restored store lacks the announcement: announced again under "
+                  "a new lease, the old one is not ended")
+{
+    restore(2);
+    answerList(30, {});
+    advance(20);
+    REQUIRE(store->grants.size() == 2);
+    store->grants.back()(std::uint64_t{12});
+    CHECK(store->announcementLeases.back() == 12);
+    CHECK(store->endedLeases.empty());
+}
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: the restored store has the announcement: kept")
+{
+    restore(2);
+    answerList(30, {hostChange(settings.self, 4)});
+    advance(1000);
+    CHECK(store->grants.size() == 1);
+}
+
+TEST_CASE_FIXTURE(
+    session_before_restoration,
+    "store_session: the restored store lacks the hosts' key: the known one is offered")
+{
+    restore(2);
+    store->offeredKeys.clear();
+    answerList(30, {});
+    REQUIRE(store->offeredKeys.size() == 1);
+    CHECK(store->offeredKeys.back().key == environment.key());
+}
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: an upstream registered after the copy: kept until it can be back")
+{
+    restore(2);
+    answerList(28, {upstreamChange(1, 10)});
+    CHECK(candidates() == 2);
+    SUBCASE("it is back")
+    {
+        answerWatch(29, {upstreamChange(2, 29)});
+        advance(3000);
+        CHECK(candidates() == 2);
+    }
+    SUBCASE("it is gone")
+    {
+        advance(3000);
+        CHECK(candidates() == 1);
+    }
+}
+
+TEST_CASE_FIXTURE(session_before_restoration,
+                  "store_session: restored: one log line with both positions")
+{
+    restore(2);
+    answerList(30, {upstreamChange(1, 10)});
+    advance(2000);
+    CHECK(std::count(environment.events.begin(), environment.events.end(), "store_restored") == 1);
+}
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -103,6 +103,64 @@
     CHECK(target.find("wait-ms=100") != std::string::npos);
 }
 
+namespace {
+
+/// Answers every call with an empty listing that has @p epoch in the header for epochs.
+scripted_answer answerOfEpoch(const std::string &epoch, unsigned status = 200)
+{
+    const json body{{"items", json::array()},
+                    {"events", json::array()},
+                    {"truncated", false},
+                    {"store-revision", 30},
+                    {"lease", 5}};
+    return scripted_answer{status, body.dump(), {{"Store-Era", epoch}}};
+}
+
+} // namespace
+
+TEST_CASE("platform_store: any answer: its epoch is noted, and stated with the records read")
+{
+    std::string epoch = "3";
+    unsigned status = 200;
+    store_client client([&](const received_request &) { return answerOfEpoch(epoch, status); });
+    CHECK(client.store.epoch() == 0);
+    CHECK(std::get<store_records>(client.list()).epoch == 3);
+    epoch = "4";
+    CHECK(std::get<store_records>(client.watch(30)).epoch == 4);
+    epoch = "5";
+    client.reply<std::monostate>([&](auto handler) { client.store.renewLease(5, handler); });
+    CHECK(client.store.epoch() == 5);
+    epoch = "6";
+    status = 410;
+    CHECK(reasonOf(client.watch(30)) == store_error::reason::historyGone);
+    CHECK(client.store.epoch() == 6);
+    SUBCASE("no number: as the last one")
+    {
+        status = 200;
+        epoch = "new";
+        CHECK(std::get<store_records>(client.list()).epoch == 6);
+    }
+    SUBCASE("a late answer of an earlier epoch: stated with its records")
+    {
+        status = 200;
+        epoch = "5";
+        CHECK(std::get<store_records>(client.list()).epoch == 5);
+        CHECK(client.store.epoch() == 6);
+    }
+}
+
+TEST_CASE("platform_store: restored between two pages of a listing: fails")
+{
+    int pages = 0;
+    store_client client([&](const received_request &) {
+        const json body{{"items", {upstreamItem("servers/i-01", 5)}},
+                        {"truncated", ++pages == 1},
+                        {"store-revision", 30}};
+        return scripted_answer{200, body.dump(), {{"Store-Era", std::to_string(pages)}}};
+    });
+    CHECK(reasonOf(client.list()) == store_error::reason::historyGone);
+}
+
 TEST_CASE("platform_store: HTTP statuses: map to distinct errors")
 {
     unsigned status = 0;
--- a/tests/platform/record_format_test.cpp
+++ b/tests/platform/record_format_test.cpp
@@ -55,6 +55,7 @@
     CHECK_FALSE(entry.isDraining);
     CHECK(entry.coldFor == milliseconds(1500));
     CHECK(entry.startedAtMs == 1700000000123);
+    CHECK(entry.sequence == 4);
 }
 
 TEST_CASE("record_format: an entry with a missing or invalid field: is unreadable, not an error")
--- a/tests/platform/scripted_http_server.cpp
+++ b/tests/platform/scripted_http_server.cpp
@@ -86,6 +86,9 @@
             return;
         }
         http::response<http::string_body> response(static_cast<http::status>(answer.status), 11);
+        for (const auto &[name, value] : answer.headers) {
+            response.set(name, value);
+        }
         response.body() = answer.body;
         response.keep_alive(true);
         response.prepare_payload();
--- a/tests/platform/scripted_http_server.h
+++ b/tests/platform/scripted_http_server.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -19,6 +20,7 @@
 {
     unsigned status = 200;
     std::string body;
+    std::map<std::string, std::string> headers = {};
     bool closesConnection = false; ///< closes the connection without an answer
     bool sendsNoAnswer = false; ///< keeps the connection open without an answer
 };
--- a/tests/wire/entry_message_test.cpp
+++ b/tests/wire/entry_message_test.cpp
@@ -43,6 +43,7 @@
     upstream.zone = "z";
     upstream.slots = 4;
     upstream.startedAtMs = 1700000000000;
+    upstream.sequence = 19;
     change.content = upstream;
     changes.records.push_back(change);
     change.content = record_change::unreadable{"broken"};
@@ -99,6 +100,25 @@
     CHECK(config.routes.at(0).services.at(1).service == "b");
     CHECK(config.services.at(0).coldRequestsPerSecond == doctest::Approx(1.5));
     CHECK(std::get<upstream_record>(result.records[1].content).startedAtMs == 1700000000000);
+    CHECK(std::get<upstream_record>(result.records[1].content).sequence == 19);
+}
+
+TEST_CASE("entry_message: epochs: read back as written, 0 from hosts that do not send them")
+{
+    peer_report report;
+    report.viewEpoch = 3;
+    CHECK(std::get<peer_report>(decoded(encodeEntryMessage(key, report))).viewEpoch == 3);
+    view_changes changes;
+    changes.epoch = 4;
+    CHECK(std::get<view_changes>(decoded(encodeEntryMessage(key, changes))).epoch == 4);
+    CHECK(std::get<view_pull>(decoded(encodeEntryMessage(key, view_pull{7, {}, 5}))).epoch == 5);
+    view_snapshot snapshot;
+    snapshot.epoch = 6;
+    const auto read = valueOf([&] { return decodeUnsigned(encodeUnsigned(snapshot)); });
+    CHECK(std::get<view_snapshot>(read).epoch == 6);
+    byte_buffer older = nlohmann::json::to_cbor(nlohmann::json::array({3, 7, "10.0.0.1:7000"}));
+    signPeerDatagram(key, older);
+    CHECK(std::get<view_pull>(decoded(older)).epoch == 0);
 }
 
 TEST_CASE("entry_message: wrong key, changed byte or truncated message: refused")
