Restore the store from an older copy in every soak run

The stand-in store states its epoch, and at the end of the faults returns from a copy that is 4 s old; the configuration, an evacuation and a drain that follow must be in force as usual. Upstreams number their entries.

--- a/tests/soak/soak_fabric.cpp
+++ b/tests/soak/soak_fabric.cpp
@@ -115,6 +115,7 @@
     udp::endpoint sender;
     std::array<std::uint8_t, 2048> receiveBuffer{};
     std::int64_t startedAtMs = 0;
+    unsigned writes = 0; // of its entry in the store
     bool isSilent = false;
     bool isDraining = false;
     soak_clock::time_point drainingSince{};
@@ -225,7 +226,7 @@
                      {"state", target.isDraining ? "draining" : "ready"},
                      {"warmup-left-ms", std::max<std::int64_t>(0, left.count())},
                      {"born", target.startedAtMs},
-                     {"seq", 1}}
+                     {"seq", ++target.writes}}
                     .dump());
 }
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds faultPhaseTime{8000};
 constexpr milliseconds recoveryPhaseTime{14000}; // recover-s of the platform and a 5 s check
 constexpr milliseconds maxFaultTime{2500};
+constexpr milliseconds copyAge{4000}; // of the copy that the store returns from
 constexpr milliseconds finalRequestWindow{4000}; // all requests sent in it must be answered
 
 /// One `figstair entry` process and the fault proxy between it and the store.
@@ -179,6 +180,7 @@
         runAfter(startupTime + milliseconds(500), [this] { injectNextFaults(); });
         m_faultsUntil = soak_clock::now() + startupTime + faultPhaseTime;
         const milliseconds end = startupTime + faultPhaseTime + recoveryPhaseTime;
+        runAfter(startupTime + faultPhaseTime - copyAge, [this] { m_store.takeCopy(); });
         runAfter(startupTime + faultPhaseTime, [this] { endFaults(); });
         runAfter(end - milliseconds(1000), [this] { m_fabric->stopTraffic(); });
         // The last requests have a deadline of 4 s.
@@ -361,6 +363,8 @@
             m_hosts[index]->signal(SIGCONT);
             m_fabric->setDropsPackets(index, false);
         }
+        logFault("store restored");
+        m_store.restore();
         // Changes made now must be in force during the recovery phase.
         if (!m_isEvacuated && m_random() % 3 != 0) {
             toggleEvacuation();
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -126,6 +126,7 @@
         m_response = {};
         m_response.result(result.status);
         m_response.set(http::field::content_type, "application/json");
+        m_response.set("Store-Era", std::to_string(m_store.m_epoch));
         m_response.body() = result.body.is_null() ? "{}" : result.body.dump();
         m_response.keep_alive(true);
         m_response.prepare_payload();
@@ -166,13 +167,13 @@
 
 void soak_store::expireLeases()
 {
-    for (auto lease = m_leases.begin(); lease != m_leases.end();) {
+    for (auto lease = m_state.leases.begin(); lease != m_state.leases.end();) {
         if (soak_clock::now() < lease->second.second) {
             ++lease;
             continue;
         }
         std::vector<std::string> ended;
-        for (const auto &[key, what] : m_items) {
+        for (const auto &[key, what] : m_state.items) {
             if (what.lease == lease->first) {
                 ended.push_back(key);
             }
@@ -180,7 +181,7 @@
         for (const std::string &key : ended) {
             remove(key);
         }
-        lease = m_leases.erase(lease);
+        lease = m_state.leases.erase(lease);
     }
     m_timer.expires_after(leaseSweepInterval);
     m_timer.async_wait([this](beast::error_code error) {
@@ -193,9 +194,9 @@
 std::uint64_t soak_store::write(const std::string &key, const std::string &base64,
                                 std::uint64_t lease)
 {
-    m_items[key] = item{base64, ++m_revision, lease};
-    m_history.push_back({m_revision, key});
-    return m_revision;
+    m_state.items[key] = item{base64, ++m_state.revision, lease};
+    m_history.push_back({m_state.revision, key});
+    return m_state.revision;
 }
 
 std::uint64_t soak_store::put(const std::string &key, const std::string &value)
@@ -205,15 +206,38 @@
 
 std::uint64_t soak_store::remove(const std::string &key)
 {
-    m_items.erase(key);
-    m_history.push_back({++m_revision, key});
-    return m_revision;
+    m_state.items.erase(key);
+    m_history.push_back({++m_state.revision, key});
+    return m_state.revision;
 }
 
 void soak_store::dropHistory()
 {
     m_history.clear();
-    m_historyFrom = m_revision;
+    m_historyFrom = m_state.revision;
+}
+
+void soak_store::takeCopy()
+{
+    m_copy = m_state;
+}
+
+void soak_store::restore()
+{
+    const auto isOfHosts = [](const std::string &key) { return key.rfind("figstair/", 0) == 0; };
+    const state lost = std::exchange(m_state, m_copy);
+    ++m_epoch;
+    dropHistory();
+    for (const auto &[key, what] : lost.items) {
+        if (!isOfHosts(key) && what.revision > m_copy.revision) {
+            write(key, what.value, 0);
+        }
+    }
+    for (const auto &[key, what] : m_copy.items) {
+        if (!isOfHosts(key) && lost.items.count(key) == 0) {
+            remove(key);
+        }
+    }
 }
 
 json soak_store::toJson(const std::string &key, const item &what) const
@@ -229,24 +253,25 @@
 {
     const auto after = parameters.find("after");
     json items = json::array();
-    auto next = after == parameters.end() ? m_items.begin() : m_items.upper_bound(after->second);
-    for (; next != m_items.end() && items.size() < maxPageItems; ++next) {
+    auto next = after == parameters.end() ? m_state.items.begin()
+                                          : m_state.items.upper_bound(after->second);
+    for (; next != m_state.items.end() && items.size() < maxPageItems; ++next) {
         items.push_back(toJson(next->first, next->second));
     }
     return {200,
             json{{"items", items},
-                 {"truncated", next != m_items.end()},
-                 {"store-revision", m_revision}}};
+                 {"truncated", next != m_state.items.end()},
+                 {"store-revision", m_state.revision}}};
 }
 
 soak_store::reply soak_store::watch(const std::map<std::string, std::string> &parameters) const
 {
     const std::uint64_t after = std::stoull(parameters.at("after"));
-    if (after < m_historyFrom) {
+    if (after < m_historyFrom || after > m_state.revision) {
         return {410, nullptr};
     }
     json events = json::array();
-    std::uint64_t reached = m_revision;
+    std::uint64_t reached = m_state.revision;
     for (const change &what : m_history) {
         if (what.revision <= after) {
             continue;
@@ -255,8 +280,8 @@
             reached = what.revision - 1;
             break;
         }
-        const auto found = m_items.find(what.key);
-        if (found == m_items.end()) {
+        const auto found = m_state.items.find(what.key);
+        if (found == m_state.items.end()) {
             events.push_back(
                 json{{"key", what.key}, {"revision", what.revision}, {"removed", true}});
         } else if (found->second.revision == what.revision) {
@@ -269,15 +294,15 @@
 soak_store::reply soak_store::transact(const json &body)
 {
     for (const json &row : body.at("precondition")) {
-        const auto found = m_items.find(row.at("key").get<std::string>());
-        const std::uint64_t revision = found == m_items.end() ? 0 : found->second.revision;
+        const auto found = m_state.items.find(row.at("key").get<std::string>());
+        const std::uint64_t revision = found == m_state.items.end() ? 0 : found->second.revision;
         if (revision != row.at("revision").get<std::uint64_t>()) {
             return {412, json{{"items", json::array()}}};
         }
     }
     for (const json &row : body.at("put")) {
         const auto lease = row.value("lease", std::uint64_t{0});
-        if (lease != 0 && m_leases.count(lease) == 0) {
+        if (lease != 0 && m_state.leases.count(lease) == 0) {
             return {404, nullptr};
         }
         write(row.at("key").get<std::string>(), row.at("value").get<std::string>(), lease);
@@ -285,7 +310,7 @@
     for (const json &key : body.at("remove")) {
         remove(key.get<std::string>());
     }
-    return {200, json{{"revision", m_revision}}};
+    return {200, json{{"revision", m_state.revision}}};
 }
 
 soak_store::reply soak_store::handle(const std::string &method, const std::string &target,
@@ -304,11 +329,11 @@
     }
     if (path == "/figstair/kv-lease") {
         const milliseconds life(json::parse(body).at("ttl-ms").get<std::int64_t>());
-        m_leases[m_nextLease] = {life, soak_clock::now() + life};
-        return {200, json{{"lease", m_nextLease++}, {"ttl-ms", life.count()}}};
+        m_state.leases[m_state.nextLease] = {life, soak_clock::now() + life};
+        return {200, json{{"lease", m_state.nextLease++}, {"ttl-ms", life.count()}}};
     }
-    const auto lease = m_leases.find(trailingNumber(path));
-    if (lease == m_leases.end()) {
+    const auto lease = m_state.leases.find(trailingNumber(path));
+    if (lease == m_state.leases.end()) {
         return {404, nullptr};
     }
     if (startsWith("/figstair/kv-keep/")) {
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -41,6 +41,12 @@
     void setFault(store_fault fault) { m_fault = fault; }
     /// Drops the change history: watches from older revisions get 410.
     void dropHistory();
+
+    /// Keeps a copy of the present state for restore().
+    void takeCopy();
+    /// Returns to the state of the last copy and starts a new epoch: writes of the hosts since then
+    /// are lost, those of operators and upstreams are repeated, and revisions are assigned again.
+    void restore();
     std::uint64_t calls() const { return m_calls; }
 
 private:
@@ -55,6 +61,13 @@
         std::uint64_t revision = 0;
         std::string key;
     };
+    struct state
+    {
+        std::map<std::string, item> items;
+        std::map<std::uint64_t, std::pair<milliseconds, soak_clock::time_point>> leases;
+        std::uint64_t revision = 1;
+        std::uint64_t nextLease = 1;
+    };
     class session;
     struct reply
     {
@@ -74,12 +87,11 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_timer;
-    std::map<std::string, item> m_items;
-    std::map<std::uint64_t, std::pair<milliseconds, soak_clock::time_point>> m_leases;
+    state m_state;
+    state m_copy;
+    std::uint64_t m_epoch = 1;
     std::deque<change> m_history;
     std::uint64_t m_historyFrom = 0; ///< the history holds all changes after this revision
-    std::uint64_t m_revision = 1;
-    std::uint64_t m_nextLease = 1;
     std::uint64_t m_calls = 0;
     store_fault m_fault = store_fault::none;
 };
