Pause between listings that do not help

What operators saw: none of this in figstair's own lines but calls; 211 listings in 4 s by two hosts after a restoration.

Cause: a watch that is answered with 410 leads to a listing at once, and the listing to the next watch. If the store has no changes after its own listing either, the two alternate without a pause, and each listing resets the pause after failures.

Change: from the second listing without an answered watch on, the next one waits as after a failed call.

--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -103,6 +103,7 @@
     void confirm(const store_position &position, monotonic_time asOf);
     void onPeerEpoch(std::uint64_t epoch, monotonic_time now);
     void onAnswered(monotonic_time now);
+    milliseconds retryPause(unsigned failures);
 
     std::mt19937_64 m_random;
     store_position m_position;
@@ -122,6 +123,7 @@
     monotonic_time m_lastPullAt{};
     bool m_isBehind = false;
     unsigned m_failures = 0;
+    unsigned m_unconfirmedListings = 0; ///< since the last answer to a watch
 };
 
 } // namespace figstair
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -144,6 +144,7 @@
     }
     m_needsListing = false;
     m_isLoaded = true;
+    ++m_unconfirmedListings;
     m_lastReadAt = m_calledAt;
     confirm(position, m_calledAt);
     return true;
@@ -180,6 +181,7 @@
         return false;
     }
     onAnswered(now);
+    m_unconfirmedListings = 0;
     const bool isNew = m_position < position;
     // The answer may have waited for this process, if it was paused.
     const monotonic_time answeredBy = std::min(now - maxAnswerAge, m_calledAt + m_maxWait);
@@ -194,15 +196,24 @@
 void view_feed::onFailed(bool isHistoryGone, monotonic_time now)
 {
     m_isCallPending = false;
-    if (isHistoryGone) {
-        m_needsListing = true;
-        m_nextCallAt = now;
+    if (!isHistoryGone) {
+        m_nextCallAt = now + retryPause(m_failures++);
         return;
     }
+    m_needsListing = true;
+    // Listing again does not help while the store has no changes after a listing either.
+    m_nextCallAt = now;
+    if (m_unconfirmedListings > 1) {
+        m_nextCallAt += retryPause(m_unconfirmedListings - 2);
+    }
+}
+
+/// Pause after @p failures earlier ones, half of it random.
+milliseconds view_feed::retryPause(unsigned failures)
+{
     const milliseconds pause =
-        std::min(maxRetryPause, initialRetryPause * (1 << std::min(m_failures, maxPauseDoublings)));
-    ++m_failures;
-    m_nextCallAt = now + pause + milliseconds(m_random() % static_cast<unsigned>(pause.count()));
+        std::min(maxRetryPause, initialRetryPause * (1 << std::min(failures, maxPauseDoublings)));
+    return pause + milliseconds(m_random() % static_cast<unsigned>(pause.count()));
 }
 
 void view_feed::onFreeze(milliseconds gap)
--- a/tests/core/view_feed_test.cpp
+++ b/tests/core/view_feed_test.cpp
@@ -179,6 +179,23 @@
     CHECK(feed.nextCall(ms(5), 0).operation == feed_call::kind::list);
 }
 
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: history gone after each listing: listed with growing pauses")
+{
+    int listings = 0;
+    for (std::int64_t now = 10; now < 5010; now += 10) {
+        const feed_call call = feed.nextCall(ms(now), 0);
+        if (call.operation == feed_call::kind::list) {
+            ++listings;
+            feed.onListed(at(50), ms(now));
+        } else if (call.operation == feed_call::kind::watch) {
+            feed.onFailed(true, ms(now));
+        }
+    }
+    CHECK(listings >= 4);
+    CHECK(listings <= 15);
+}
+
 TEST_CASE_FIXTURE(listed_feed,
                   "view_feed: calls fail: retried with growing pauses, then a grace period")
 {
