--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -55,10 +55,10 @@
     void apply(const record_change &change, monotonic_time now, milliseconds returnColdTime);
 
     /// The store was restored from an older copy, and a listing of it follows. Forgets the
-    /// revisions of the known records, but keeps the records: an entry in the copy that its
-    /// upstream replaced later is ignored, and one that was removed later is ignored until @p
-    /// deferralEnd, unless it changes. Evacuations that the copy lacks stay in force until the end
-    /// of keepLapsedUntil().
+    /// revisions of the known records, but keeps the records: until @p deferralEnd, an entry that
+    /// its upstream replaced after the copy is ignored, and so is one that was removed after the
+    /// copy, which is applied then if it has not changed. Evacuations that the copy lacks stay in
+    /// force until the end of keepLapsedUntil().
     void onStoreRestored(monotonic_time deferralEnd);
 
     /// Treats the entries of upstreams that a full @p listing of the store at @p revision lacks as
@@ -116,6 +116,8 @@
     void applyEvacuation(const record_change &change, monotonic_time now,
                          milliseconds returnColdTime);
     upstream_index add(std::uint64_t id);
+    bool isOutdated(const known_upstream &upstream, const upstream_record &entry,
+                    monotonic_time now) const;
     void applyDeferred(monotonic_time now);
     void endLapsing(monotonic_time now);
     void forgetUnlisted(monotonic_time now);
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -1,6 +1,7 @@
 #include "figstair/core/upstream_directory.h"
 
 #include <algorithm>
+#include <tuple>
 #include <unordered_set>
 #include <utility>
 
@@ -15,15 +16,6 @@
 /// Interval between sweeps for unlisted upstreams to forget.
 constexpr milliseconds sweepInterval{1000};
 
-/// Whether @p entry, from a restored store, may be older than the last known entry of @p upstream:
-/// it has the same start, and a lower sequence number, or the last one if it was removed.
-bool isOutdated(const known_upstream &upstream, const upstream_record &entry)
-{
-    return upstream.isFromEarlierEpoch && entry.startedAtMs == upstream.entry.startedAtMs
-        && (upstream.isListed ? entry.sequence < upstream.entry.sequence
-                              : entry.sequence <= upstream.entry.sequence);
-}
-
 } // namespace
 
 std::uint32_t upstreamTag(std::uint64_t id)
@@ -114,7 +106,7 @@
     }
     upstream.revision = change.revision;
     upstream.isLapsing = false;
-    if (entry != nullptr && isOutdated(upstream, *entry)) {
+    if (entry != nullptr && isOutdated(upstream, *entry, now)) {
         if (!upstream.isListed) {
             m_deferred.push_back(change);
         }
@@ -162,6 +154,19 @@
     invalidateCandidates();
 }
 
+/// Whether @p entry, from a store that was just restored, may be older than what is known of
+/// @p upstream: an earlier entry, or the last one of an upstream that was removed since.
+bool upstream_directory::isOutdated(const known_upstream &upstream, const upstream_record &entry,
+                                    monotonic_time now) const
+{
+    if (!upstream.isFromEarlierEpoch || now >= m_deferralEnd) {
+        return false;
+    }
+    const auto restored = std::tie(entry.startedAtMs, entry.sequence);
+    const auto known = std::tie(upstream.entry.startedAtMs, upstream.entry.sequence);
+    return upstream.isListed ? restored < known : restored <= known;
+}
+
 void upstream_directory::unlist(known_upstream &upstream, monotonic_time now)
 {
     if (upstream.isListed) {
@@ -290,7 +295,6 @@
     for (const record_change &change : std::exchange(m_deferred, {})) {
         const auto found = m_byId.find(change.upstreamId);
         if (found != m_byId.end() && m_upstreams[found->second].revision == change.revision) {
-            m_upstreams[found->second].isFromEarlierEpoch = false;
             applyUpstream(change, now);
         }
     }
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -152,7 +152,7 @@
 
 void view_feed::onSnapshot(const store_position &position, milliseconds age, monotonic_time now)
 {
-    m_needsListing = false;
+    m_needsListing = position.epoch < m_newestEpoch;
     m_isLoaded = true;
     confirm(position, now - age);
 }
--- a/tests/core/upstream_directory_test.cpp
+++ b/tests/core/upstream_directory_test.cpp
@@ -256,6 +256,27 @@
     }
 }
 
+TEST_CASE_FIXTURE(upstream_of_restored_store,
+                  "upstream_directory: started again, restored as it was before: the later start "
+                  "counts")
+{
+    directory.apply(written(9, 12, false, 1000), ms(1100), milliseconds(0));
+    directory.apply(written(2, 13, true, 1900), ms(1900), milliseconds(0));
+    restore({written(9, 4, false, 1000)});
+    CHECK(candidates() == 0);
+    CHECK(known().entry.startedAtMs == 1900);
+}
+
+TEST_CASE_FIXTURE(upstream_of_restored_store,
+                  "upstream_directory: started again long after the restoration, by a clock that "
+                  "was set back: the later entry counts")
+{
+    directory.apply(written(9, 12, false, 9000), ms(1100), milliseconds(0));
+    restore({written(9, 4, false, 9000)});
+    directory.apply(written(1, 9, true, 8000), ms(7000), milliseconds(0));
+    CHECK(candidates() == 0);
+}
+
 TEST_CASE_FIXTURE(upstream_of_restored_store,
                   "upstream_directory: evacuation requested after the copy: in force until it can "
                   "be back")
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -709,6 +709,31 @@
     CHECK(store->lists.size() == lists + 1);
 }
 
+TEST_CASE_FIXTURE(
+    session_with_store,
+    "store_session: started after the restoration, with the view of a seed from before "
+    "it: lists the store")
+{
+    store->storeEpoch = 2;
+    const auto refuseListing = [this] {
+        const auto handler = std::exchange(store->lists.back(), {});
+        handler(store_error{store_error::reason::refused, "status 503"});
+    };
+    refuseListing();
+    session->tick();
+    REQUIRE_FALSE(environment.unsignedSent.empty());
+    const auto request = std::get<view_request>(environment.unsignedSent.back());
+    session->onSnapshot(view_snapshot{
+        request.nonce, peer_key{9}, 40, milliseconds(50), {upstreamChange(1, 30)}, 1});
+    CHECK(candidates() == 1);
+    refuseListing();
+    advance(400);
+    REQUIRE(store->lists.back());
+    answerList(20, {upstreamChange(1, 10), upstreamChange(2, 20)});
+    CHECK(candidates() == 2);
+    CHECK(session->feed().position() == store_position{2, 20});
+}
+
 TEST_CASE_FIXTURE(session_before_restoration,
                   "store_session: the restored store lacks the announcement: announced again under "
                   "a new lease, the old one is not ended")
