Keep an upstream's counts when a record of an earlier start is ignored

Found by reading the diff; no caller saw it. Cause: whether an upstream had started again was decided by what a change says, before the directory ignored it as older. After a restoration an entry of an earlier start so cleared the open requests and health of an upstream that is known by a later one. Change: decided by what the directory took.

Evidence: entry_core: the restored store has an entry of an earlier start: 0 open requests without the change, 1 with it.

--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -79,7 +79,8 @@
     /// to the next request.
     bool takeDuePull(monotonic_time now);
 
-    /// End of the grace period after failed calls to the store: until then entries may be missing.
+    /// End of the grace period after failed calls to the store, or its restoration: until then
+    /// entries may be missing.
     monotonic_time lapseGraceEnd() const { return m_lapseGraceEnd; }
 
     const store_position &position() const { return m_position; }
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -340,11 +340,15 @@
     }
     if (const auto *entry = std::get_if<upstream_record>(&change.content)) {
         const upstream_index previousIndex = m_directory.findTag(upstreamTag(entry->id));
-        const bool isNewIncarnation = previousIndex == noUpstream
-            || m_directory.at(previousIndex).entry.startedAtMs != entry->startedAtMs;
+        const std::optional<std::int64_t> previousStart = previousIndex == noUpstream
+            ? std::nullopt
+            : std::make_optional(m_directory.at(previousIndex).entry.startedAtMs);
         m_directory.apply(change, now, milliseconds::zero());
         const upstream_index index = m_directory.findTag(upstreamTag(entry->id));
-        if (isNewIncarnation && index != noUpstream) {
+        // Not what the change says: the directory ignores changes that are older than its record.
+        const bool isNewIncarnation =
+            index != noUpstream && m_directory.at(index).entry.startedAtMs != previousStart;
+        if (isNewIncarnation) {
             m_loads.reset(index);
             m_health.reset(index);
         }
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -548,6 +548,23 @@
     CHECK(core.loads().openRequests(index) == 0);
 }
 
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: the restored store has an entry of an earlier start: it is ignored, "
+                  "and the upstream's open requests still count")
+{
+    core.onRecordChange(upstreamChange(1, 101, true, 1));
+    core.onRecordChange(upstreamChange(2, 102, true, 1));
+    core.onRecordChange(upstreamChange(3, 103, true, 1));
+    core.onRecordChange(upstreamChange(4, 104, false, 7));
+    REQUIRE(establishFlow(1) == 4);
+    const upstream_index index = core.directory().findTag(upstreamTag(4));
+    REQUIRE(core.loads().openRequests(index) == 1);
+    core.onStoreRestored();
+    core.onRecordChange(upstreamChange(4, 54, false, 1));
+    CHECK(core.directory().at(index).entry.startedAtMs == 7);
+    CHECK(core.loads().openRequests(index) == 1);
+}
+
 TEST_CASE_FIXTURE(settled_host,
                   "entry_core: a host has used its share of slots, reports show others "
                   "that are free: it uses those only")
