--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -51,11 +51,11 @@
     void tick();
     monotonic_time nextDeadline();
 
-    /// This host did not run for @p gap.
+    /// This host did not run for @p gap; see view_feed::onFreeze().
     void onFreeze(milliseconds gap);
 
-    /// No message from another host waits to be read. Later ones are taken to have waited since
-    /// then, which is the least age that is sure while this host is slow or frozen.
+    /// No message from another host waits to be read. One that is read later may have waited since
+    /// now, if this host is slow or does not run, so its age is counted from now.
     void onPeerMessagesRead() { m_peerMessagesReadAt = m_clock.monotonic(); }
 
     /// Longest time that a message which is read now can have waited in this host's socket.
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -201,8 +201,8 @@
         return;
     }
     m_needsListing = true;
-    // Listing again does not help while the store has no changes after a listing either.
     m_nextCallAt = now;
+    // The changes after the last listing were gone as well: without a pause this would go on.
     if (m_unconfirmedListings > 1) {
         m_nextCallAt += retryPause(m_unconfirmedListings - 2);
     }
