--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -322,6 +322,50 @@
     }
 };
 
+/// With trouble, a target crashes and starts again under its id, cold, while the store forgets its
+/// history. The machine that reads the store for the others also owns the target.
+class restarted_unseen : public warm_up_scenario
+{
+public:
+    using warm_up_scenario::warm_up_scenario;
+
+private:
+    // With the machines' names below, frontend-mobile-bay-1 is the reader and owns this id.
+    static constexpr std::uint64_t crashingId = 0x5c1e0001;
+
+    void build() override
+    {
+        buildService();
+        buildZone("mobile-bay", 2);
+        buildZone("biloxi", 2);
+        m_world.addTarget("catalogue", "mobile-bay", milliseconds(0), crashingId);
+        m_world.addTarget("catalogue", "biloxi", milliseconds(0));
+    }
+
+    void run() override
+    {
+        sendNext();
+        if (m_hasTrouble) {
+            m_world.after(milliseconds(6000), [this] {
+                m_world.targets.front()->crash();
+                m_world.note("watches hear nothing from now on");
+                m_world.platformStore->silenceWatches();
+            });
+            m_world.after(milliseconds(6500), [this] {
+                m_world.note("the configuration changes");
+                m_world.writeConfig();
+            });
+            m_world.after(milliseconds(7000), [this] {
+                m_world.note("the store drops its history and cuts watches");
+                m_world.platformStore->dropHistory();
+            });
+            m_world.after(milliseconds(7100),
+                          [this] { m_world.targets.front()->restartCold(warmupTime); });
+        }
+        endAt(milliseconds(12000));
+    }
+};
+
 /// Clients keep flows open for some seconds, close them, and half a minute later open new ones from
 /// the same ports. With trouble, a host is stopped and started during the first flows and again
 /// during the second ones. Judges FLOW.
@@ -481,6 +525,8 @@
             played = std::make_unique<review::taken_back_in_roll>(surroundings, hasTrouble);
         } else if (name == "taken-back-unseen") {
             played = std::make_unique<review::taken_back_unseen>(surroundings, hasTrouble);
+        } else if (name == "restarted-unseen") {
+            played = std::make_unique<review::restarted_unseen>(surroundings, hasTrouble);
         } else if (name == "reused-ports") {
             played = std::make_unique<review::reused_ports>(surroundings, hasTrouble);
         } else {
--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -88,6 +88,13 @@
     return request.substr(at, request.find("\r\n", at) - at);
 }
 
+std::int64_t wallMs()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 bool isReached(std::uint32_t acknowledged, std::uint32_t end)
 {
     return static_cast<std::int32_t>(acknowledged - end) >= 0;
@@ -197,9 +204,7 @@
     , m_service(std::move(service))
     , m_zone(std::move(zone))
     , m_socket(owner.io, udp::endpoint(asio::ip::make_address(address), world::targetPort))
-    , m_bornMs(std::chrono::duration_cast<milliseconds>(
-                   std::chrono::system_clock::now().time_since_epoch())
-                   .count())
+    , m_bornMs(wallMs())
     , m_coldUntil(steady::now() + coldFor)
 {
     m_world.note("target " + name() + " of " + m_service + " in " + m_zone + " starts, cold for "
@@ -240,7 +245,9 @@
 void target::heartbeat()
 {
     if (!m_hasLeft) {
-        publish();
+        if (!m_isDown) {
+            publish();
+        }
         if (onHeartbeat) {
             std::exchange(onHeartbeat, nullptr)();
         }
@@ -270,6 +277,27 @@
     m_world.note("target " + name() + " has left");
 }
 
+void target::crash()
+{
+    m_isDown = true;
+    ++m_incarnation;
+    m_flows.clear();
+    m_waiting.clear();
+    m_busy = 0;
+    m_world.note("target " + name() + " crashes");
+}
+
+void target::restartCold(milliseconds coldFor)
+{
+    m_isDown = false;
+    m_bornMs = wallMs();
+    m_sequence = 0;
+    m_coldUntil = steady::now() + coldFor;
+    m_world.note("target " + name() + " starts again, cold for " + std::to_string(coldFor.count())
+                 + " ms");
+    publish();
+}
+
 void target::receive()
 {
     m_socket.async_receive_from(
@@ -277,7 +305,7 @@
             if (error == asio::error::operation_aborted) {
                 return;
             }
-            if (!error && !m_hasLeft && size >= idBytes + headBytes) {
+            if (!error && !m_hasLeft && !m_isDown && size >= idBytes + headBytes) {
                 const std::uint64_t id = endian::load_big_u64(m_buffer.data());
                 if (id == m_id || id == 0) {
                     onPacket(readHead(&m_buffer[idBytes]),
@@ -417,13 +445,15 @@
         m_world.note("run " + requestId(request) + " at " + name());
         const auto work = milliseconds(
             static_cast<std::int64_t>(double(kind.work.count()) * (isCold() ? coldSlowness : 1)));
-        m_world.after(work, [this, key = key, clientSequence = clientSequence, request = request] {
-            if (!m_hasLeft) {
-                --m_busy;
-                answer(key, clientSequence, request);
-                startWork();
-            }
-        });
+        m_world.after(work,
+                      [this, key = key, clientSequence = clientSequence, request = request,
+                       incarnation = m_incarnation] {
+                          if (!m_hasLeft && incarnation == m_incarnation) {
+                              --m_busy;
+                              answer(key, clientSequence, request);
+                              startWork();
+                          }
+                      });
     }
 }
 
@@ -740,11 +770,12 @@
     platformStore->put("op/config", config.dump());
 }
 
-target &world::addTarget(const std::string &service, const std::string &zone, milliseconds coldFor)
+target &world::addTarget(const std::string &service, const std::string &zone, milliseconds coldFor,
+                         std::uint64_t id)
 {
     m_nextId += 1 + m_random() % 1000;
-    targets.push_back(
-        std::make_unique<target>(*this, m_nextId, service, zone, zoneAddress(zone, 2), coldFor));
+    targets.push_back(std::make_unique<target>(*this, id == 0 ? m_nextId : id, service, zone,
+                                               zoneAddress(zone, 2), coldFor));
     return *targets.back();
 }
 
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -128,6 +128,10 @@
     void becomeCold(milliseconds time);
     /// Ends the process of the target and removes its entry.
     void leave();
+    /// Is silent from now on; its entry stays.
+    void crash();
+    /// Starts again under the same id, after crash().
+    void restartCold(milliseconds coldFor);
 
     /// Called once, right after the next heartbeat.
     std::function<void()> onHeartbeat;
@@ -166,6 +170,8 @@
     nlohmann::json m_published; ///< without "seq"
     bool m_isDraining = false;
     bool m_hasLeft = false;
+    bool m_isDown = false;
+    unsigned m_incarnation = 0;
     steady::time_point m_coldUntil;
 };
 
@@ -233,7 +239,9 @@
     host &addHost(const std::string &name, const std::string &zone);
     void startHosts();
     void writeConfig();
-    target &addTarget(const std::string &service, const std::string &zone, milliseconds coldFor);
+    /// @p id: 0 draws one.
+    target &addTarget(const std::string &service, const std::string &zone, milliseconds coldFor,
+                      std::uint64_t id = 0);
     /// Adds a client of @p zone and returns its address.
     std::uint32_t addClient(const std::string &zone);
     std::shared_ptr<client_flow> openFlow(const std::string &zone, std::uint32_t client,
