--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/figstair ] && [ -x review/build/world ] || exit 2
 folder=$(mktemp -d) || exit 2
-review/build/world taken-back-in-roll target/figstair "$folder" review/3/record.txt "${TROUBLE:-1}" &
+review/build/world restarted-unseen target/figstair "$folder" review/3/record.txt "${TROUBLE:-1}" &
 world=$!
 trap 'kill "$world" 2> /dev/null' TERM INT
 wait "$world"
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -114,7 +114,7 @@
             m_world.addHost("frontend-" + zone + "-" + std::to_string(number), zone);
         }
         for (unsigned number = 0; number < 8; ++number) {
-            m_clients.emplace_back(zone, m_world.addClient(zone));
+            m_clients.emplace_back(zone, m_world.addClient());
         }
     }
 
@@ -399,7 +399,7 @@
             m_world.addTarget("order-desk", "mobile-bay", milliseconds(0));
         }
         for (unsigned number = 0; number < clientCount; ++number) {
-            m_clients.push_back(m_world.addClient("mobile-bay"));
+            m_clients.push_back(m_world.addClient());
         }
     }
 
--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -136,7 +136,7 @@
         {"limits.cpu-share", "0.25"},
         {"bounds.grace-s", "6"},
         {"platform.address",
-         m_world.zoneAddress("store", 4) + ":" + std::to_string(world::storePort)},
+         m_world.newAddress(world::owner::store) + ":" + std::to_string(world::storePort)},
         {"heartbeat-ms", std::to_string(target::heartbeatInterval.count())},
         {"bounds.flow-ttl-s", "60"},
         {"bounds.warmup-overshoot", "1.5"},
@@ -663,9 +663,8 @@
     for (unsigned attempt = 0; attempt < 50 && !platformStore; ++attempt) {
         network = 20 + static_cast<unsigned>(m_random() % 200);
         m_addresses.clear();
-        m_zones.clear();
         try {
-            const auto address = asio::ip::make_address(zoneAddress("store", 4));
+            const auto address = asio::ip::make_address(newAddress(owner::store));
             platformStore = std::make_unique<store>(io, tcp::endpoint(address, storePort));
         } catch (const boost::system::system_error &) {
         }
@@ -678,12 +677,10 @@
 
 world::~world() = default;
 
-/// An address of its own for each call, but for the store's.
-std::string world::zoneAddress(const std::string &zone, unsigned kind)
+std::string world::newAddress(owner kind)
 {
-    const unsigned last = kind == 4 ? 1 : ++m_addresses[kind];
-    (void)zone;
-    return "127." + std::to_string(network) + "." + std::to_string(kind) + "."
+    const unsigned last = kind == owner::store ? 1 : ++m_addresses[kind];
+    return "127." + std::to_string(network) + "." + std::to_string(unsigned(kind)) + "."
         + std::to_string(last);
 }
 
@@ -709,7 +706,7 @@
 
 host &world::addHost(const std::string &name, const std::string &zone)
 {
-    hosts.push_back(std::make_unique<host>(*this, name, zone, zoneAddress(zone, 1)));
+    hosts.push_back(std::make_unique<host>(*this, name, zone, newAddress(owner::host)));
     return *hosts.back();
 }
 
@@ -775,13 +772,13 @@
 {
     m_nextId += 1 + m_random() % 1000;
     targets.push_back(std::make_unique<target>(*this, id == 0 ? m_nextId : id, service, zone,
-                                               zoneAddress(zone, 2), coldFor));
+                                               newAddress(owner::target), coldFor));
     return *targets.back();
 }
 
-std::uint32_t world::addClient(const std::string &zone)
+std::uint32_t world::addClient()
 {
-    const auto address = asio::ip::make_address_v4(zoneAddress(zone, 3));
+    const auto address = asio::ip::make_address_v4(newAddress(owner::client));
     auto item = std::make_unique<client>(io);
     item->socket.open(udp::v4());
     item->socket.set_option(asio::socket_base::receive_buffer_size(1 << 20));
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -242,8 +242,8 @@
     /// @p id: 0 draws one.
     target &addTarget(const std::string &service, const std::string &zone, milliseconds coldFor,
                       std::uint64_t id = 0);
-    /// Adds a client of @p zone and returns its address.
-    std::uint32_t addClient(const std::string &zone);
+    /// Adds a client and returns its address.
+    std::uint32_t addClient();
     std::shared_ptr<client_flow> openFlow(const std::string &zone, std::uint32_t client,
                                           std::uint16_t port, const route &to,
                                           const std::string &firstRequest, bool firstCloses);
@@ -267,7 +267,11 @@
     std::vector<std::unique_ptr<host>> hosts;
     std::vector<std::unique_ptr<target>> targets;
     std::vector<opening> openings;
-    std::string zoneAddress(const std::string &zone, unsigned kind);
+
+    /// What an address belongs to; the third number of the address.
+    enum class owner : std::uint8_t { host = 1, target = 2, client = 3, store = 4 };
+    /// An unused address; the store has only one.
+    std::string newAddress(owner kind);
 
     boost::asio::io_context &io;
     std::string program;
@@ -301,8 +305,7 @@
     std::ofstream m_record;
     steady::time_point m_startedAt = steady::now();
     std::mt19937_64 m_random;
-    std::map<std::string, unsigned> m_zones;
-    std::map<unsigned, unsigned> m_addresses;
+    std::map<owner, unsigned> m_addresses; ///< number of addresses by owner
     std::map<std::uint32_t, std::unique_ptr<client>> m_clients;
     std::map<flow_key, std::shared_ptr<client_flow>> m_flows;
     std::uint64_t m_version = 0;
