Route packets of reused ports by their own flow

Cause: a host finds the record of a flow by addresses and ports, and its upstream went before the tag in the packet. A host that did not see the end of an earlier flow applied its record to a new flow from the same port.

Change: a record counts only for packets whose sequence and acknowledgement numbers continue it; other packets go to the upstream of their tag, and only data replaces the record. The numbers tell flows apart because both ends choose them anew; a late answer of a second upstream changes only the tag, so it still cannot move a flow. Records name their upstream by tag too, as the directory uses indexes again.

--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -104,6 +104,13 @@
 private:
     void acceptConfig(const record_change &change);
     void onSubsequentPacket(const flow_packet &packet, byte_view bytes);
+    void endFlowWithoutRoute(const flow_packet &packet);
+    /// The upstream of the flow that @p packet is part of, or noUpstream. @p record is the record
+    /// of that flow, or nullptr.
+    upstream_index upstreamOf(const flow_packet &packet, const flow_record *record) const;
+    void forward(byte_view bytes, upstream_index upstream);
+    void onHandshakeCompleted(const flow_packet &packet, flow_record &record,
+                              upstream_index upstream);
     void adoptFlow(const flow_packet &packet, flow_record &record, upstream_index upstream);
     void recordAnswer(const flow_packet &packet, flow_record &record);
     void recordRequest(const flow_packet &packet, flow_record &record);
--- a/include/figstair/core/flow_table.h
+++ b/include/figstair/core/flow_table.h
@@ -20,7 +20,9 @@
     closed ///< the caller sent a FIN or RST; kept for late packets
 };
 
-/// State of one flow at this host. Only a cache: any host can route any packet by its tag.
+/// State of one flow at this host. Only a cache: any host can route any packet by its tag. Callers
+/// use their ports again, so a record may be of an earlier or later flow than a packet with the
+/// same addresses and ports; see contains().
 struct flow_record
 {
     flow_phase phase = flow_phase::opening;
@@ -29,12 +31,15 @@
     /// took the flow.
     bool wasRetried = false;
     upstream_index upstream = noUpstream;
+    std::uint32_t upstreamTag = 0; ///< of #upstream, whose index may be used again
     upstream_index previousUpstream = noUpstream; ///< got an earlier copy of the SYN
     std::uint32_t openingSequence = 0; ///< sequence number of the caller's SYN
     /// Acknowledgement number of the caller's latest packet with new data; before the first one,
     /// that of the first packet after the SYN. A different one acknowledges an answer.
     std::uint32_t acknowledgedAtRequest = 0;
     std::uint32_t lastDataSequence = 0; ///< sequence number of the caller's latest new data
+    std::uint32_t lastSequence = 0; ///< sequence number of the caller's latest packet
+    std::uint32_t lastAcknowledged = 0; ///< that the caller's latest packet acknowledged
     bool hasSentData = false; ///< the caller sent data through this host
     bool wasForwarded = false; ///< a SYN of the flow was sent to an upstream
     /// Bit n is set if the SYN with retransmission count n came to this host.
@@ -48,6 +53,11 @@
     /// with the same addresses and ports.
     std::uint32_t holdNumber = 0;
     float requestsPerSlot = 1.0F; ///< at the upstream when the flow was placed; at least 1
+
+    /// Whether @p packet, which is no SYN, continues this flow: its sequence number is near the
+    /// last one seen here and, once the flow is open, its acknowledgement number too. Both ends
+    /// choose their initial numbers anew for each flow.
+    bool contains(const flow_packet &packet) const;
 };
 
 /// Bounded table of the flows that this host has seen recently.
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -104,56 +104,71 @@
     }
 }
 
+void entry_core::endFlowWithoutRoute(const flow_packet &packet)
+{
+    m_output.count(entry_counter::packetsWithoutRoute, 1);
+    m_output.count(entry_counter::flowsReset, 1);
+    if (flow_record *record = m_flows.find(packet.flow)) {
+        m_context.stopAwaitingAnswer(*record);
+        m_flows.erase(packet.flow);
+    }
+    if (!packet.isRst) {
+        m_output.reset(packet.flow, packet.acknowledged);
+    }
+}
+
+upstream_index entry_core::upstreamOf(const flow_packet &packet, const flow_record *record) const
+{
+    const upstream_index tagged = m_directory.findTag(packet.upstreamTag);
+    if (record == nullptr || record->phase == flow_phase::held
+        || record->phase == flow_phase::dropped) {
+        return tagged;
+    }
+    if (record->phase == flow_phase::opening && tagged != noUpstream) {
+        // The upstream that answered first, if the SYN was sent to several.
+        return tagged;
+    }
+    // The tag may be that of a second upstream which answered the SYN too late.
+    return m_directory.findTag(record->upstreamTag) == record->upstream ? record->upstream : tagged;
+}
+
 void entry_core::onSubsequentPacket(const flow_packet &packet, byte_view bytes)
 {
-    const monotonic_time now = m_clock.monotonic();
     if (m_routes.isLoaded() && m_routes.find(packet.flow) == nullptr) {
-        m_output.count(entry_counter::packetsWithoutRoute, 1);
-        m_output.count(entry_counter::flowsReset, 1);
-        if (flow_record *record = m_flows.find(packet.flow)) {
-            m_context.stopAwaitingAnswer(*record);
-            m_flows.erase(packet.flow);
-        }
-        if (!packet.isRst) {
-            m_output.reset(packet.flow, packet.acknowledged);
-        }
+        endFlowWithoutRoute(packet);
         return;
     }
     flow_record *record = m_flows.find(packet.flow);
-    const upstream_index taggedUpstream = m_directory.findTag(packet.upstreamTag);
-    if (record == nullptr || record->phase == flow_phase::held
+    const bool isOtherFlow = record != nullptr && !record->contains(packet);
+    const upstream_index upstream = upstreamOf(packet, isOtherFlow ? nullptr : record);
+    if (upstream == noUpstream) {
+        m_output.count(entry_counter::packetsWithUnknownTag, 1);
+        m_output.logEvent("packet_dropped",
+                          {{"flow", toText(packet.flow)},
+                           {"reason", "unknown_tag"},
+                           {"tag", toHex(packet.upstreamTag)}});
+        return;
+    }
+    if (isOtherFlow && packet.payloadBytes == 0) {
+        // A late packet of an earlier flow does not change the record of a later one. Only data
+        // shows that the caller uses this flow now.
+        forward(bytes, upstream);
+        return;
+    }
+    if (record == nullptr || isOtherFlow || record->phase == flow_phase::held
         || record->phase == flow_phase::dropped) {
-        if (taggedUpstream == noUpstream) {
-            m_output.count(entry_counter::packetsWithUnknownTag, 1);
-            m_output.logEvent("packet_dropped",
-                              {{"flow", toText(packet.flow)},
-                               {"reason", "unknown_tag"},
-                               {"tag", toHex(packet.upstreamTag)}});
-            return;
-        }
         record = &m_context.insertFlow(packet.flow);
-        adoptFlow(packet, *record, taggedUpstream);
+        m_context.stopAwaitingAnswer(*record);
+        adoptFlow(packet, *record, upstream);
     } else if (record->phase == flow_phase::opening) {
-        if (taggedUpstream != noUpstream && taggedUpstream != record->upstream) {
-            // The first upstream answered after the retry; the caller's connection is with it.
-            m_context.stopAwaitingAnswer(*record);
-            record->upstream = taggedUpstream;
-            record->awaitsAnswer = true;
-            m_loads.addOpenRequest(taggedUpstream);
-        }
-        record->phase = flow_phase::open;
-        record->acknowledgedAtRequest = packet.acknowledged;
-        m_health.onAnswered(record->upstream, now);
-        if (!record->wasRetried) {
-            m_serviceTimes.onHandshake(now - record->openingSentAt);
-            m_output.observe(entry_distribution::handshake, now - record->openingSentAt);
-        }
+        onHandshakeCompleted(packet, *record, upstream);
     }
     recordAnswer(packet, *record);
     recordRequest(packet, *record);
-    record->lastPacketAt = now;
-    m_output.count(entry_counter::packetsForwarded, 1);
-    m_output.forward(bytes, m_directory.at(record->upstream));
+    record->lastSequence = packet.sequence;
+    record->lastAcknowledged = packet.isAck ? packet.acknowledged : record->lastAcknowledged;
+    record->lastPacketAt = m_clock.monotonic();
+    forward(bytes, record->upstream);
     if (packet.isFin || packet.isRst) {
         m_context.stopAwaitingAnswer(*record);
         record->phase = flow_phase::closed;
@@ -161,12 +176,39 @@
     m_opener.retryHeld();
 }
 
+void entry_core::forward(byte_view bytes, upstream_index upstream)
+{
+    m_output.count(entry_counter::packetsForwarded, 1);
+    m_output.forward(bytes, m_directory.at(upstream));
+}
+
+void entry_core::onHandshakeCompleted(const flow_packet &packet, flow_record &record,
+                                      upstream_index upstream)
+{
+    const monotonic_time now = m_clock.monotonic();
+    if (upstream != record.upstream) {
+        m_context.stopAwaitingAnswer(record);
+        record.upstream = upstream;
+        record.upstreamTag = m_directory.at(upstream).tag;
+        record.awaitsAnswer = true;
+        m_loads.addOpenRequest(upstream);
+    }
+    record.phase = flow_phase::open;
+    record.acknowledgedAtRequest = packet.acknowledged;
+    m_health.onAnswered(record.upstream, now);
+    if (!record.wasRetried) {
+        m_serviceTimes.onHandshake(now - record.openingSentAt);
+        m_output.observe(entry_distribution::handshake, now - record.openingSentAt);
+    }
+}
+
 void entry_core::adoptFlow(const flow_packet &packet, flow_record &record, upstream_index upstream)
 {
     const monotonic_time now = m_clock.monotonic();
     record = flow_record{};
     record.phase = flow_phase::open;
     record.upstream = upstream;
+    record.upstreamTag = m_directory.at(upstream).tag;
     record.acknowledgedAtRequest = packet.acknowledged;
     record.openingSentAt = now;
     record.requestSentAt = now;
--- a/src/core/flow_opener.cpp
+++ b/src/core/flow_opener.cpp
@@ -249,6 +249,7 @@
     record.phase = flow_phase::opening;
     record.wasForwarded = true;
     record.upstream = choice.upstream;
+    record.upstreamTag = upstream.tag;
     record.openingSentAt = now;
     record.requestSentAt = now;
     record.lastPacketAt = now;
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -126,10 +126,12 @@
         const std::vector<std::uint8_t> bytes{mark};
         core.onPacket(packet, bytes);
     }
-    void receiveSyn(std::uint16_t port, std::uint32_t retransmissions = 0)
+    void receiveSyn(std::uint16_t port, std::uint32_t retransmissions = 0,
+                    std::uint32_t sequence = 1)
     {
         flow_packet packet = packetOf(port);
         packet.isSyn = true;
+        packet.sequence = sequence;
         packet.acknowledged = retransmissions;
         receive(packet);
     }
@@ -142,6 +144,23 @@
         packet.upstreamTag = upstreamTag(upstream);
         return packet;
     }
+    /// The first data of a flow whose SYN had the number @p sequence. The acknowledged number is
+    /// specific to the upstream.
+    static flow_packet dataPacket(std::uint16_t port, std::uint64_t upstream,
+                                  std::uint32_t sequence)
+    {
+        flow_packet packet = packetOf(port);
+        packet.isAck = true;
+        packet.sequence = sequence + 1;
+        packet.acknowledged = static_cast<std::uint32_t>(upstream << 28U) + 1;
+        packet.payloadBytes = 100;
+        packet.upstreamTag = upstreamTag(upstream);
+        return packet;
+    }
+    unsigned openRequestsOf(std::uint64_t upstream)
+    {
+        return core.loads().openRequests(core.directory().findTag(upstreamTag(upstream)));
+    }
     /// Completes the handshake of a flow and returns its upstream.
     std::uint64_t establishFlow(std::uint16_t port)
     {
@@ -297,6 +316,147 @@
     CHECK(output.sent.back().upstream == first);
 }
 
+// Guards against packets of a flow that go to the upstream of an earlier flow from the same port,
+// which resets them: this host saw the earlier flow only, and not its end.
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: a port is used again, the new flow opened through another host: its "
+                  "packets go to its own upstream")
+{
+    receiveSyn(1);
+    const std::uint64_t earlier = output.sent.back().upstream;
+    receive(dataPacket(1, earlier, 1));
+    const std::uint64_t later = earlier % 4 + 1;
+    advanceTime(1000);
+    for (std::uint32_t step = 0; step < 3; ++step) {
+        receive(dataPacket(1, later, 0x50000000 + step * 100));
+        CHECK(output.sent.back().upstream == later);
+    }
+    CHECK(openRequestsOf(earlier) == 0);
+    CHECK(openRequestsOf(later) == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: a port is used again after the earlier flow closed here: packets of "
+                  "the new flow go to its own upstream")
+{
+    receiveSyn(1);
+    const std::uint64_t earlier = output.sent.back().upstream;
+    flow_packet end = dataPacket(1, earlier, 1);
+    end.isFin = true;
+    receive(end);
+    const std::uint64_t later = earlier % 4 + 1;
+    receive(dataPacket(1, later, 0x50000000));
+    CHECK(output.sent.back().upstream == later);
+    CHECK(openRequestsOf(later) == 1);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: the end of an earlier flow comes while a new one from its port is "
+                  "open: the new flow stays as it is")
+{
+    const std::uint64_t earlier = 1;
+    receiveSyn(1, 0, 0x50000000);
+    const std::uint64_t later = output.sent.back().upstream;
+    receive(dataPacket(1, later, 0x50000000));
+    for (const bool isRst : {false, true}) {
+        flow_packet end = dataPacket(1, earlier, 1);
+        end.payloadBytes = 0;
+        end.isFin = !isRst;
+        end.isRst = isRst;
+        receive(end);
+        CHECK(output.sent.back().upstream == earlier);
+        CHECK(openRequestsOf(later) == (later == earlier ? 2 : 1));
+    }
+    receive(dataPacket(1, later, 0x50000100));
+    CHECK(output.sent.back().upstream == later);
+}
+
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: the end of an earlier flow comes while a SYN from its port is held: "
+                  "the SYN stays held")
+{
+    std::uint16_t port = 1;
+    for (; output.counterValue(entry_counter::flowsHeld) == 0; ++port) {
+        REQUIRE(port < 40);
+        receiveSyn(port, 0, 0x50000000);
+    }
+    --port;
+    const std::size_t placed = output.sent.size();
+    flow_packet end = dataPacket(port, 1, 1);
+    end.payloadBytes = 0;
+    end.isFin = true;
+    receive(end);
+    REQUIRE(output.sent.size() == placed + 1);
+    CHECK(output.sent.back().upstream == 1);
+    const std::uint64_t freed = output.sent.front().upstream;
+    flow_packet freeing = dataPacket(1, freed, 0x50000000);
+    freeing.isFin = true;
+    receive(freeing);
+    advanceTime(10);
+    CHECK(output.counterValue(entry_counter::flowsPlaced) == placed + 1);
+}
+
+TEST_CASE_FIXTURE(
+    settled_host,
+    "entry_core: a SYN is held, its caller sends data on another flow from that port: "
+    "the SYN is not placed any more")
+{
+    std::uint16_t port = 1;
+    for (; output.counterValue(entry_counter::flowsHeld) == 0; ++port) {
+        REQUIRE(port < 40);
+        receiveSyn(port, 0, 0x50000000);
+    }
+    --port;
+    const std::size_t placed = output.counterValue(entry_counter::flowsPlaced);
+    receive(dataPacket(port, 1, 1));
+    CHECK(output.sent.back().upstream == 1);
+    flow_packet freeing = dataPacket(1, output.sent.front().upstream, 0x50000000);
+    freeing.isFin = true;
+    receive(freeing);
+    advanceTime(10);
+    CHECK(output.counterValue(entry_counter::flowsPlaced) == placed);
+}
+
+// Guards against packets that go to another upstream because the directory used the index of their
+// own, which it had forgotten, again.
+TEST_CASE_FIXTURE(
+    settled_host,
+    "entry_core: the upstream of an open flow was forgotten, its index names another: "
+    "packets of the flow are dropped")
+{
+    const std::uint64_t upstream = establishFlow(1);
+    record_change gone = upstreamChange(upstream, 300);
+    gone.content = record_change::removed{};
+    core.onRecordChange(gone);
+    for (int second = 0; second < 62; ++second) {
+        receive(subsequentPacket(1, upstream));
+        advanceTime(1000);
+    }
+    core.onRecordChange(upstreamChange(9, 301));
+    output.sent.clear();
+    receive(subsequentPacket(1, upstream));
+    CHECK(output.sent.empty());
+    CHECK(output.counterValue(entry_counter::packetsWithUnknownTag) >= 1);
+}
+
+TEST_CASE_FIXTURE(
+    settled_host,
+    "entry_core: a large body passes through other hosts meanwhile: the flow is still "
+    "the same one")
+{
+    receiveSyn(1, 0, 0x50000000);
+    advanceTime(60);
+    REQUIRE(output.sent.size() == 2);
+    const std::uint64_t first = output.sent[0].upstream;
+    const std::uint64_t second = output.sent[1].upstream;
+    receive(dataPacket(1, first, 0x50000000));
+    flow_packet packet = dataPacket(1, first, 0x50000000 + 500'000);
+    packet.acknowledged += 500'000;
+    packet.upstreamTag = upstreamTag(second); // of its late answer to the SYN
+    receive(packet);
+    CHECK(output.sent.back().upstream == first);
+}
+
 TEST_CASE_FIXTURE(settled_host,
                   "entry_core: the host froze: missing answers do not count against upstreams")
 {
