Let hosts with the same old view still fetch what they miss

Hosts other than the reader did not learn of its entry for over a second.

Cause: two parts of one gap. A report of another host with the same old revision ended the wait for the changes that both lacked (view_feed::confirm()), so neither requested them nor read the store. And the reader, which lists the store after a 410, dropped its history and relayed nothing, so that all changes after the listing followed a revision that no other host had.

Evidence: "view_feed: hosts with the same old view report too" makes no request within 0.9 s before the change, and all three variants of "store_session: history gone: other hosts get what the listing changed" leave the other host at revision 20 instead of 40 or 44.

Change: a host is behind until its view reaches the newest one reported; progress restarts the wait, so bursts of changes cause no reads of the store. What a listing changes is kept in the history and relayed as one message with all changes at the listing's revision. It is not split: which change came first is not known, so a host with a part could not tell what is missing. A difference above the size of a message is not relayed; those hosts read the store.

--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view_feed.h
@@ -101,7 +101,8 @@
 
 private:
     milliseconds staleAfter(unsigned rank) const;
-    void confirm(const store_position &position, monotonic_time asOf);
+    /// The store was at @p position at time @p asOf, and this view has all changes up to it.
+    void confirm(const store_position &position, monotonic_time asOf, monotonic_time now);
     void onPeerEpoch(std::uint64_t epoch, monotonic_time now);
     void onAnswered(monotonic_time now);
     milliseconds retryPause(unsigned failures);
@@ -120,7 +121,7 @@
     monotonic_time m_lastReadAt{};
     monotonic_time m_nextCallAt{};
     monotonic_time m_lapseGraceEnd{};
-    monotonic_time m_behindSince{};
+    monotonic_time m_behindSince{}; ///< last progress since another host's view was newer
     monotonic_time m_lastPullAt{};
     bool m_isBehind = false;
     unsigned m_failures = 0;
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -97,7 +97,12 @@
     void recordFailure(const char *call, const store_error &error);
     void recordSuccess();
     void recordRestoration(const store_position &view);
-    void applyListing(const store_records &listing);
+    /// Replaces the view by @p view: the first one, or one of a new epoch.
+    void applyView(const store_records &view);
+    /// Applies a listing that replaces a view with all changes up to revision @p after, and relays
+    /// the difference.
+    void applyNewerListing(const store_records &listing, std::uint64_t after);
+    void applyRecords(const store_records &listing);
     void requestViewFromSeeds(monotonic_time now);
     void applyChanges(const std::vector<record_change> &records);
     std::vector<record_change> recordsToRelay(const std::vector<record_change> &records) const;
--- a/src/core/view_feed.cpp
+++ b/src/core/view_feed.cpp
@@ -121,14 +121,19 @@
     m_nextCallAt = now;
 }
 
-void view_feed::confirm(const store_position &position, monotonic_time asOf)
+void view_feed::confirm(const store_position &position, monotonic_time asOf, monotonic_time now)
 {
-    if (!(position < m_position)) {
-        m_position = position;
-        m_newestEpoch = std::max(m_newestEpoch, position.epoch);
-        m_confirmedAt = std::max(m_confirmedAt, asOf);
-        m_isBehind = false;
+    if (position < m_position) {
+        return;
+    }
+    if (m_position < position) {
+        // Changes arrive, so those that other hosts have may be on their way.
+        m_behindSince = now;
     }
+    m_position = position;
+    m_newestEpoch = std::max(m_newestEpoch, position.epoch);
+    m_confirmedAt = std::max(m_confirmedAt, asOf);
+    m_isBehind = m_isBehind && position.epoch == m_maxPeerPosition.epoch && !isUpToDate();
 }
 
 bool view_feed::onListed(const store_position &position, monotonic_time now)
@@ -146,7 +151,7 @@
     m_isLoaded = true;
     ++m_unconfirmedListings;
     m_lastReadAt = m_calledAt;
-    confirm(position, m_calledAt);
+    confirm(position, m_calledAt, now);
     return true;
 }
 
@@ -154,7 +159,7 @@
 {
     m_needsListing = position.epoch < m_newestEpoch;
     m_isLoaded = true;
-    confirm(position, now - age);
+    confirm(position, now - age, now);
 }
 
 void view_feed::onStoreEpoch(std::uint64_t epoch, monotonic_time now)
@@ -186,7 +191,7 @@
     // The answer may have waited for this process, if it was paused.
     const monotonic_time answeredBy = std::min(now - maxAnswerAge, m_calledAt + m_maxWait);
     m_lastReadAt = std::max(m_calledAt, answeredBy);
-    confirm(position, m_lastReadAt);
+    confirm(position, m_lastReadAt, now);
     if (isNew && isUpToDate()) {
         m_nextCallAt = now + batchDelay;
     }
@@ -237,7 +242,7 @@
     }
     m_lapseGraceEnd = std::max(m_lapseGraceEnd, now + grace);
     const bool isNew = m_position < position;
-    confirm(position, now - age);
+    confirm(position, now - age, now);
     return isNew;
 }
 
@@ -249,7 +254,7 @@
     onPeerEpoch(position.epoch, now);
     m_maxPeerPosition = std::max(m_maxPeerPosition, position);
     if (position == m_position) {
-        confirm(position, now - age);
+        confirm(position, now - age, now);
     } else if (position.epoch == m_position.epoch && m_position < position && !m_isBehind) {
         m_isBehind = true;
         m_behindSince = now;
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -1,6 +1,8 @@
 #include "figstair/host/store_session.h"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
 
 #include <sodium.h>
 
@@ -30,6 +32,39 @@
 /// Base delay after a failed announcement; a random delay of up to the same length is added.
 constexpr milliseconds announcementRetryDelay{1000};
 
+/// The changes that lead from the view @p before, which has all up to revision @p after, to
+/// @p listing. All have the listing's revision: which of them came first is not known.
+std::vector<record_change> changesByListing(boost::span<const record_change> before,
+                                            const store_records &listing, std::uint64_t after)
+{
+    using record_key = std::tuple<record_kind, std::string, std::uint64_t>;
+    const auto keyOf = [](const record_change &change) {
+        return change.kind == record_kind::upstream
+            ? record_key(change.kind, std::string(), change.upstreamId)
+            : record_key(change.kind, change.name, 0);
+    };
+    std::set<record_key> listed;
+    std::vector<record_change> changes;
+    for (const record_change &change : listing.records) {
+        listed.insert(keyOf(change));
+        if (change.revision > after && change.revision <= listing.revision) {
+            changes.push_back(change);
+        }
+    }
+    for (const record_change &known : before) {
+        const bool mayBeRemoved = known.kind == record_kind::upstream
+            || known.kind == record_kind::evacuation || known.kind == record_kind::host;
+        if (mayBeRemoved && known.revision <= listing.revision && listed.count(keyOf(known)) == 0) {
+            changes.push_back(known);
+            changes.back().content = record_change::removed{};
+        }
+    }
+    for (record_change &change : changes) {
+        change.revision = listing.revision;
+    }
+    return changes;
+}
+
 } // namespace
 
 store_session::store_session(std::unique_ptr<fleet_store> store, entry_core &core,
@@ -198,11 +233,15 @@
         return;
     }
     recordSuccess();
-    if (!isFirst && previous.epoch < listing.epoch) {
+    if (isFirst) {
+        applyView(listing);
+    } else if (previous.epoch < listing.epoch) {
         recordRestoration(previous);
         m_core.onStoreRestored();
+        applyView(listing);
+    } else {
+        applyNewerListing(listing, previous.revision);
     }
-    applyListing(listing);
     announceIfMissing(listing.records);
     m_environment.logEvent("view_listed",
                            {{"epoch", std::to_string(listing.epoch)},
@@ -214,12 +253,40 @@
     tick();
 }
 
-void store_session::applyListing(const store_records &listing)
+void store_session::applyView(const store_records &view)
 {
     if (m_firstLoadedAt == monotonic_time{}) {
         m_firstLoadedAt = m_clock.monotonic();
     }
     m_history.clear();
+    applyRecords(view);
+}
+
+void store_session::applyNewerListing(const store_records &listing, std::uint64_t after)
+{
+    const std::vector<record_change> relayed =
+        recordsToRelay(changesByListing(m_core.snapshot(), listing, after));
+    applyRecords(listing);
+    if (listing.revision <= after) {
+        return;
+    }
+    const monotonic_time now = m_clock.monotonic();
+    const milliseconds grace = std::max(milliseconds::zero(), m_feed.lapseGraceEnd() - now);
+    const view_changes changes{after, listing.revision, m_feed.lastReadAge(now),
+                               grace, relayed,          listing.epoch};
+    if (encodeEntryMessage(m_environment.key(), changes).size() > maxEntryMessageBytes) {
+        // A host that has some of the changes cannot know which others are missing.
+        m_history.clear();
+        return;
+    }
+    addToHistory(after, listing.revision, relayed);
+    if (m_feed.mayRelay(rank())) {
+        m_environment.relay(changes);
+    }
+}
+
+void store_session::applyRecords(const store_records &listing)
+{
     m_core.keepLapsedUntil(m_feed.lapseGraceEnd());
     for (const record_change &change : listing.records) {
         if (const auto *key = std::get_if<shared_key>(&change.content)) {
@@ -380,7 +447,7 @@
     m_environment.adoptKey(snapshot.key);
     m_feed.onSnapshot({snapshot.epoch, snapshot.revision}, snapshot.age + maxMessageDelay(),
                       m_clock.monotonic());
-    applyListing(store_records{snapshot.records, snapshot.revision, snapshot.epoch});
+    applyView(store_records{snapshot.records, snapshot.revision, snapshot.epoch});
     m_environment.logEvent("view_from_seed",
                            {{"epoch", std::to_string(snapshot.epoch)},
                             {"revision", std::to_string(snapshot.revision)},
--- a/tests/core/view_feed_test.cpp
+++ b/tests/core/view_feed_test.cpp
@@ -123,6 +123,42 @@
     CHECK_FALSE(feed.takeDuePull(ms(900)));
 }
 
+// Guards against hosts that never catch up after a compaction of the store: reports of other hosts
+// with the same old view ended the wait for the changes that all of them lacked.
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: hosts with the same old view report too: the missing changes are "
+                  "still requested, then read")
+{
+    feed.onPeerView(at(60), milliseconds(0), ms(100));
+    std::int64_t firstPull = 0;
+    std::int64_t read = 0;
+    for (std::int64_t now = 100; now < 1000 && read == 0; now += 10) {
+        feed.onPeerView(at(50), milliseconds(20), ms(now));
+        if (feed.takeDuePull(ms(now)) && firstPull == 0) {
+            firstPull = now;
+        }
+        if (feed.nextCall(ms(now), 3).operation == feed_call::kind::watch) {
+            read = now;
+        }
+    }
+    CHECK(firstPull > 0);
+    CHECK(firstPull <= 300);
+    CHECK(read > firstPull);
+    CHECK(read <= 600);
+}
+
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: changes keep coming, each behind another host's report: not read")
+{
+    for (std::int64_t now = 100; now < 1300; now += 100) {
+        const std::uint64_t revision = 50 + static_cast<std::uint64_t>(now / 100);
+        feed.onPeerView(at(revision + 1), milliseconds(0), ms(now));
+        CHECK(feed.onRelayedChanges(revision - 1, at(revision), milliseconds(50), milliseconds(0),
+                                    ms(now + 50)));
+        CHECK(feed.nextCall(ms(now + 60), 3).operation == feed_call::kind::none);
+    }
+}
+
 TEST_CASE_FIXTURE(listed_feed,
                   "view_feed: an answer states a new epoch: listed at once, revisions start anew")
 {
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -413,6 +413,65 @@
     CHECK(other.candidates() == 2000);
 }
 
+// Guards against hosts that miss changes after a compaction of the store: only the reader had them,
+// by a listing, and what it relayed later did not follow the other hosts' views.
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: history gone: other hosts get what the listing changed")
+{
+    record_change evacuation;
+    evacuation.kind = record_kind::evacuation;
+    evacuation.name = "far";
+    evacuation.revision = 12;
+    evacuation.content = zone_evacuation{};
+    const std::vector<record_change> first{upstreamChange(1, 10), upstreamChange(2, 11),
+                                           evacuation};
+    start(20, first);
+    session_with_store other;
+    other.answerList(20, first);
+    const std::uint16_t far = other.core->directory().zoneNumber("far");
+    REQUIRE(other.core->directory().isEvacuated(far));
+    environment.relayed.clear();
+    failWatch(store_error::reason::historyGone);
+    answerList(40, {upstreamChange(2, 11), upstreamChange(3, 35)});
+    SUBCASE("relayed")
+    {
+        deliver(environment.relayed, other);
+    }
+    SUBCASE("on request")
+    {
+        session->onPull(view_pull{20, {}});
+        deliver(environment.sentToPeers, other);
+    }
+    SUBCASE("relayed changes that follow the listing, on request")
+    {
+        advance(20);
+        answerWatch(44, {upstreamChange(4, 44)});
+        session->onPull(view_pull{20, {}});
+        deliver(environment.sentToPeers, other);
+        CHECK(other.session->feed().position().revision == 44);
+        CHECK(other.candidates() == 3);
+        return;
+    }
+    CHECK(other.session->feed().position().revision == 40);
+    CHECK(other.candidates() == 2);
+    CHECK_FALSE(other.core->directory().isCandidate(other.core->directory().findTag(upstreamTag(1)),
+                                                    "desk"));
+    CHECK_FALSE(other.core->directory().isEvacuated(far));
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: history gone, the listing changed more than a message holds: "
+                  "other hosts read the store")
+{
+    start(20, {});
+    failWatch(store_error::reason::historyGone);
+    environment.relayed.clear();
+    answerList(2020, zoneRecoveryChanges());
+    CHECK(environment.relayed.empty());
+    session->onPull(view_pull{20, {}});
+    CHECK(environment.sentToPeers.empty());
+}
+
 namespace {
 
 /// The same session among peers of its zone with a higher strength.
