Keep an ejection when its owner has a newer view

Cause: hosts withdraw an ejection that the upstream's owner no longer reports. The owner drops the state of an upstream whose entry shows a new start, so hosts without that entry took the restart for a recovery and sent their full share.

Evidence: "report_exchange: the owner has a newer view and omits an ejection" fails before the change: the upstream is no longer ejected.

Change: the report of a host whose view is newer withdraws no ejection. Once the views are equal, this host knows of the restart as well, and its cold time.

--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -51,8 +51,9 @@
     /// See upstream_directory::keepLapsedUntil().
     void keepLapsedUntil(monotonic_time until) { m_directory.keepLapsedUntil(until); }
 
-    /// Applies a load and health report of another host.
-    void onPeerReport(const peer_report &report);
+    /// Applies a load and health report of another host. @p ownView: position of this host's view
+    /// of the store.
+    void onPeerReport(const peer_report &report, const store_position &ownView = {});
 
     /// All store records known to this host, as changes.
     std::vector<record_change> snapshot() const;
--- a/include/figstair/core/report_exchange.h
+++ b/include/figstair/core/report_exchange.h
@@ -6,6 +6,7 @@
 
 #include "figstair/core/load_board.h"
 #include "figstair/core/peer_roster.h"
+#include "figstair/core/store_position.h"
 #include "figstair/core/upstream_health.h"
 #include "figstair/wire/entry_message.h"
 
@@ -44,8 +45,9 @@
     /// The report that is due now, if any.
     std::optional<outgoing_report> takeDue(monotonic_time now);
 
-    /// Applies a report of another host; ignores one from an earlier incarnation of it.
-    void onReport(const peer_report &report, monotonic_time now);
+    /// Applies a report of another host; ignores one from an earlier incarnation of it. @p ownView:
+    /// position of this host's view of the store.
+    void onReport(const peer_report &report, const store_position &ownView, monotonic_time now);
 
 private:
     peer_report beginReport();
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -461,10 +461,10 @@
     return records;
 }
 
-void entry_core::onPeerReport(const peer_report &report)
+void entry_core::onPeerReport(const peer_report &report, const store_position &ownView)
 {
     m_output.count(entry_counter::peerMessagesReceived, 1);
-    m_reports.onReport(report, m_clock.monotonic());
+    m_reports.onReport(report, ownView, m_clock.monotonic());
 }
 
 entry_state entry_core::state() const
--- a/src/core/report_exchange.cpp
+++ b/src/core/report_exchange.cpp
@@ -171,7 +171,8 @@
     return selected;
 }
 
-void report_exchange::onReport(const peer_report &report, monotonic_time now)
+void report_exchange::onReport(const peer_report &report, const store_position &ownView,
+                               monotonic_time now)
 {
     if (!m_roster.onHostMessage(report.sender, report.isLeaving, now)) {
         return;
@@ -204,7 +205,10 @@
             applyEjection(upstream, report.sender.name, now);
         }
     }
-    if (!report.isDelta) {
+    // A sender with a newer view may have cleared an upstream because it restarted, which this host
+    // cannot tell from a recovery.
+    const bool isSenderAhead = ownView < store_position{report.viewEpoch, report.viewRevision};
+    if (!report.isDelta && !isSenderAhead) {
         clearUnreported(report, now);
     }
 }
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -329,7 +329,7 @@
 
     void handleMessage(const peer_report &report)
     {
-        m_core->onPeerReport(report);
+        m_core->onPeerReport(report, m_storeSession->feed().position());
         m_storeSession->onPeerReport(report);
     }
     void handleMessage(const view_changes &changes) { m_storeSession->onRelayedChanges(changes); }
--- a/tests/core/report_exchange_test.cpp
+++ b/tests/core/report_exchange_test.cpp
@@ -35,13 +35,16 @@
                            endpoint{{}, static_cast<std::uint16_t>(number)}, 1};
     }
 
-    void receiveReport(unsigned number, std::vector<load_row> rows, bool isNews = false)
+    /// @p revision: of the sender's view; the one of this host is 20.
+    void receiveReport(unsigned number, std::vector<load_row> rows, bool isNews = false,
+                       std::uint64_t revision = 20)
     {
         peer_report report;
+        report.viewRevision = revision;
         report.sender = hostOf(number);
         report.isDelta = isNews;
         report.rows = std::move(rows);
-        reports.onReport(report, now);
+        reports.onReport(report, store_position{0, 20}, now);
     }
 
     /// Runs for @p time and returns the reports sent.
@@ -201,6 +204,21 @@
     CHECK_FALSE(health.isEjected(indexOf(id)));
 }
 
+// Guards against the full load on an upstream that restarted cold: its owner, which had the new
+// entry, no longer reported it as ejected, and hosts without the entry took that for a recovery.
+TEST_CASE_FIXTURE(large_fleet,
+                  "report_exchange: the owner has a newer view and omits an ejection: it applies "
+                  "here until the views are equal")
+{
+    const std::uint64_t id = ownedBy("h2").front();
+    receiveReport(2, {load_row{upstreamTag(id), 0, 0, true}}, true);
+    now += milliseconds(1000);
+    receiveReport(2, {}, false, 21);
+    CHECK(health.isEjected(indexOf(id)));
+    receiveReport(2, {}, false, 20);
+    CHECK_FALSE(health.isEjected(indexOf(id)));
+}
+
 TEST_CASE_FIXTURE(large_fleet,
                   "report_exchange: an ejection by a host that is not the owner: suspected "
                   "here, until that expires")
