Count a zone as cold however its evacuation ends

Cause: only the change that removes an evacuation started the zone's cold time. A listing that lacks the evacuation, and the end of the grace period after a restoration, ended it without one.

Evidence: "upstream_directory: a listing ends an evacuation" and the extended test of an evacuation that a restored copy lacks fail before the change, as coldUntil stays unset.

Change: all ends go through one function, with the time as a property of the directory instead of an argument of apply().

--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -49,10 +49,12 @@
     /// @p flowLifetime: how long unlisted upstreams stay known, to forward packets of their flows.
     explicit upstream_directory(milliseconds flowLifetime);
 
+    /// How long a zone's listed upstreams count as cold after the end of its evacuation, however
+    /// this directory learns of it. Initially 0.
+    void setReturnColdTime(milliseconds time) { m_returnColdTime = time; }
+
     /// Applies a change of the store's records; ignores one that is older than the known record.
-    /// @p returnColdTime: how long a zone's listed upstreams count as cold after the removal of its
-    /// evacuation. An evacuation that retain() ends is followed by no cold time.
-    void apply(const record_change &change, monotonic_time now, milliseconds returnColdTime);
+    void apply(const record_change &change, monotonic_time now);
 
     /// The store was restored from an older copy, and a listing of it follows. Forgets the
     /// revisions of the known records, but keeps the records: until @p deferralEnd, an entry that
@@ -113,8 +115,8 @@
     using zone_lists = std::vector<std::vector<upstream_index>>;
 
     void applyUpstream(const record_change &change, monotonic_time now);
-    void applyEvacuation(const record_change &change, monotonic_time now,
-                         milliseconds returnColdTime);
+    void applyEvacuation(const record_change &change, monotonic_time now);
+    void chillZone(const std::string &zone, monotonic_time now);
     upstream_index add(std::uint64_t id);
     bool isOutdated(const known_upstream &upstream, const upstream_record &entry,
                     monotonic_time now) const;
@@ -128,6 +130,7 @@
     void invalidateCandidates();
 
     milliseconds m_flowLifetime;
+    milliseconds m_returnColdTime{0};
     std::vector<known_upstream> m_upstreams;
     std::vector<upstream_index> m_freeIndexes;
     std::unordered_map<std::uint64_t, upstream_index> m_byId;
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -42,6 +42,10 @@
 /// the delay of the removal.
 constexpr int entryLifeHeartbeats = 4;
 
+/// An upstream states that it is cold with its next heartbeat; one more covers the way to this
+/// host.
+constexpr int returnColdHeartbeats = 2;
+
 /// Interval between checks of the other hosts. A host counts as silent only after several of these.
 constexpr milliseconds rosterSweepInterval{100};
 
@@ -77,11 +81,13 @@
     , m_silence(m_context)
     , m_opener(m_context, m_silence, seed)
 {
+    m_directory.setReturnColdTime(settings.heartbeat * returnColdHeartbeats);
 }
 
 void entry_core::updateSettings(const entry_settings &settings)
 {
     m_settings = settings;
+    m_directory.setReturnColdTime(settings.heartbeat * returnColdHeartbeats);
 }
 
 void entry_core::onPacket(const flow_packet &packet, byte_view bytes)
@@ -385,7 +391,7 @@
         const std::optional<std::int64_t> previousStart = previousIndex == noUpstream
             ? std::nullopt
             : std::make_optional(m_directory.at(previousIndex).entry.startedAtMs);
-        m_directory.apply(change, now, milliseconds::zero());
+        m_directory.apply(change, now);
         const upstream_index index = m_directory.findTag(upstreamTag(entry->id));
         // Not what the change says: the directory ignores changes that are older than its record.
         const bool isNewIncarnation =
@@ -404,7 +410,7 @@
                            {"revision", std::to_string(change.revision)}});
         return;
     }
-    m_directory.apply(change, now, m_settings.heartbeat * 2);
+    m_directory.apply(change, now);
     if (change.kind == record_kind::evacuation || change.kind == record_kind::upstream) {
         const bool isRemoved = std::holds_alternative<record_change::removed>(change.content);
         m_output.logEvent(change.kind == record_kind::evacuation ? "evacuation" : "upstream_gone",
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -78,13 +78,12 @@
     return index;
 }
 
-void upstream_directory::apply(const record_change &change, monotonic_time now,
-                               milliseconds returnColdTime)
+void upstream_directory::apply(const record_change &change, monotonic_time now)
 {
     if (change.kind == record_kind::upstream) {
         applyUpstream(change, now);
     } else if (change.kind == record_kind::evacuation) {
-        applyEvacuation(change, now, returnColdTime);
+        applyEvacuation(change, now);
     }
 }
 
@@ -130,8 +129,7 @@
     }
 }
 
-void upstream_directory::applyEvacuation(const record_change &change, monotonic_time now,
-                                         milliseconds returnColdTime)
+void upstream_directory::applyEvacuation(const record_change &change, monotonic_time now)
 {
     evacuation &zone = m_evacuations[change.name];
     if (change.revision < zone.revision) {
@@ -143,17 +141,24 @@
     // Any record under the zone's name requests its evacuation, even an unreadable one.
     const bool isInForce = !std::holds_alternative<record_change::removed>(change.content);
     if (zone.isInForce && !isInForce) {
-        const std::uint16_t number = zoneNumber(change.name);
-        for (known_upstream &upstream : m_upstreams) {
-            if (upstream.isListed && upstream.zone == number) {
-                upstream.coldUntil = std::max(upstream.coldUntil, now + returnColdTime);
-            }
-        }
+        chillZone(change.name, now);
     }
     zone.isInForce = isInForce;
     invalidateCandidates();
 }
 
+/// Counts the listed upstreams of @p zone as cold: some may have become cold, and their entries do
+/// not say so yet.
+void upstream_directory::chillZone(const std::string &zone, monotonic_time now)
+{
+    const std::uint16_t number = zoneNumber(zone);
+    for (known_upstream &upstream : m_upstreams) {
+        if (upstream.isListed && upstream.zone == number) {
+            upstream.coldUntil = std::max(upstream.coldUntil, now + m_returnColdTime);
+        }
+    }
+}
+
 /// Whether @p entry, from a store that was just restored, may be older than what is known of
 /// @p upstream: an earlier entry, or the last one of an upstream that was removed since.
 bool upstream_directory::isOutdated(const known_upstream &upstream, const upstream_record &entry,
@@ -224,8 +229,11 @@
             continue;
         }
         zone.isLapsing = zone.isFromEarlierEpoch && now < m_lapseGraceEnd;
-        zone.isInForce = zone.isLapsing;
         m_hasLapsing = m_hasLapsing || zone.isLapsing;
+        if (!zone.isLapsing) {
+            zone.isInForce = false;
+            chillZone(name, now);
+        }
     }
     invalidateCandidates();
 }
@@ -282,8 +290,11 @@
         }
     }
     for (auto &[name, zone] : m_evacuations) {
-        zone.isInForce = zone.isInForce && !zone.isLapsing;
-        zone.isLapsing = false;
+        if (zone.isLapsing) {
+            zone.isLapsing = false;
+            zone.isInForce = false;
+            chillZone(name, now);
+        }
     }
     invalidateCandidates();
 }
--- a/tests/core/entry_parts_test.cpp
+++ b/tests/core/entry_parts_test.cpp
@@ -28,7 +28,7 @@
         entry.id = 1;
         entry.service = "desk";
         entry.zone = "z";
-        directory.apply(changeOf(entry, 1), ms(0), milliseconds(0));
+        directory.apply(changeOf(entry, 1), ms(0));
     }
 
     upstream_directory directory{milliseconds(60000)};
--- a/tests/core/flow_placer_test.cpp
+++ b/tests/core/flow_placer_test.cpp
@@ -29,7 +29,7 @@
         entry.zone = zone;
         entry.slots = 2;
         entry.coldFor = coldFor;
-        directory.apply(changeOf(entry, ++revision), now, milliseconds(0));
+        directory.apply(changeOf(entry, ++revision), now);
     }
 
     placement_result choose(double queueLimit = 2.0, unsigned coldFlowsPerSecond = 2,
@@ -230,7 +230,7 @@
         entry.service = service;
         entry.zone = "z" + std::to_string(id % 23);
         entry.slots = 2;
-        directory.apply(changeOf(entry, id), now, milliseconds(0));
+        directory.apply(changeOf(entry, id), now);
     }
     load_board loads{directory};
     upstream_health health;
@@ -316,7 +316,7 @@
     entry.zone = "here";
     entry.slots = 2;
     entry.isDraining = true;
-    directory.apply(changeOf(entry, ++revision), now, milliseconds(0));
+    directory.apply(changeOf(entry, ++revision), now);
     for (int step = 0; step < 20; ++step) {
         CHECK(idOf(chooseShared().upstream) != 1);
     }
@@ -325,7 +325,7 @@
     evacuated.name = "here";
     evacuated.revision = ++revision;
     evacuated.content = zone_evacuation{};
-    directory.apply(evacuated, now, milliseconds(0));
+    directory.apply(evacuated, now);
     for (int step = 0; step < 20; ++step) {
         CHECK(idOf(chooseShared().upstream) > 3);
     }
@@ -341,7 +341,7 @@
     entry.zone = "here";
     entry.slots = 2;
     entry.startedAtMs = 5;
-    directory.apply(changeOf(entry, ++revision), now, milliseconds(0));
+    directory.apply(changeOf(entry, ++revision), now);
     for (int step = 0; step < 20; ++step) {
         CHECK(idOf(chooseShared().upstream) != 1);
     }
--- a/tests/core/report_exchange_test.cpp
+++ b/tests/core/report_exchange_test.cpp
@@ -22,7 +22,7 @@
             entry.id = id;
             entry.service = "desk";
             entry.zone = "here";
-            directory.apply(changeOf(entry, id), now, milliseconds(0));
+            directory.apply(changeOf(entry, id), now);
         }
         for (unsigned number = 2; number < otherHosts + 2; ++number) {
             receiveReport(number, {});
--- a/tests/core/slot_shares_test.cpp
+++ b/tests/core/slot_shares_test.cpp
@@ -58,7 +58,7 @@
         entry.service = service;
         entry.zone = zone;
         entry.slots = slots;
-        view.directory.apply(changeOf(entry, 1), now, milliseconds(0));
+        view.directory.apply(changeOf(entry, 1), now);
     }
 
     /// Slots by upstream id that all hosts together count as theirs.
@@ -147,7 +147,7 @@
         entry.zone = "a";
         entry.slots = 2;
         entry.coldFor = milliseconds(5000);
-        view->directory.apply(changeOf(entry, 2), pair.now, milliseconds(0));
+        view->directory.apply(changeOf(entry, 2), pair.now);
     }
     const auto total = pair.sum();
     CHECK(total.size() == 1);
@@ -174,7 +174,7 @@
     entry.service = service;
     entry.zone = "a";
     entry.slots = 4;
-    view.directory.apply(changeOf(entry, 1), now, milliseconds(0));
+    view.directory.apply(changeOf(entry, 1), now);
     record_change listed;
     listed.kind = record_kind::host;
     listed.name = "other";
--- a/tests/core/upstream_directory_test.cpp
+++ b/tests/core/upstream_directory_test.cpp
@@ -15,7 +15,7 @@
 
 struct one_upstream
 {
-    one_upstream() { directory.apply(entry(10), ms(1000), milliseconds(0)); }
+    one_upstream() { directory.apply(entry(10), ms(1000)); }
 
     static record_change entry(std::uint64_t revision, bool isDraining = false,
                                milliseconds coldFor = milliseconds(0))
@@ -59,24 +59,24 @@
                   "upstream_directory: draining or removed: no candidate, its tag still resolves")
 {
     CHECK(candidates() == 1);
-    directory.apply(entry(11, true), ms(1100), milliseconds(0));
+    directory.apply(entry(11, true), ms(1100));
     CHECK(candidates() == 0);
-    directory.apply(removal(12), ms(1200), milliseconds(0));
+    directory.apply(removal(12), ms(1200));
     CHECK(candidates() == 0);
     CHECK(directory.findTag(upstreamTag(5)) != noUpstream);
 }
 
 TEST_CASE_FIXTURE(one_upstream, "upstream_directory: an older change: ignored")
 {
-    directory.apply(removal(12), ms(1200), milliseconds(0));
-    directory.apply(entry(11), ms(1300), milliseconds(0));
+    directory.apply(removal(12), ms(1200));
+    directory.apply(entry(11), ms(1300));
     CHECK(candidates() == 0);
 }
 
 TEST_CASE_FIXTURE(one_upstream,
                   "upstream_directory: left longer ago than the flow lifetime: forgotten")
 {
-    directory.apply(removal(12), ms(1200), milliseconds(0));
+    directory.apply(removal(12), ms(1200));
     directory.advance(ms(61000));
     CHECK(directory.findTag(upstreamTag(5)) != noUpstream);
     directory.advance(ms(62500));
@@ -88,20 +88,21 @@
 {
     record_change bad = entry(11);
     bad.content = record_change::unreadable{"no number"};
-    directory.apply(bad, ms(1100), milliseconds(0));
+    directory.apply(bad, ms(1100));
     CHECK(candidates() == 0);
     record_change other = bad;
     other.upstreamId = 6;
-    directory.apply(other, ms(1100), milliseconds(0));
+    directory.apply(other, ms(1100));
     CHECK(directory.findTag(upstreamTag(6)) == noUpstream);
 }
 
 TEST_CASE_FIXTURE(one_upstream,
                   "upstream_directory: zone evacuated and back in use: cold for the given time")
 {
-    directory.apply(evacuation(11, false), ms(1100), milliseconds(2400));
+    directory.setReturnColdTime(milliseconds(2400));
+    directory.apply(evacuation(11, false), ms(1100));
     CHECK(candidates() == 0);
-    directory.apply(evacuation(12, true), ms(2000), milliseconds(2400));
+    directory.apply(evacuation(12, true), ms(2000));
     CHECK(candidates() == 1);
     CHECK(known().coldUntil == ms(4400));
 }
@@ -110,15 +111,15 @@
 {
     record_change bad = evacuation(11, false);
     bad.content = record_change::unreadable{"garbage"};
-    directory.apply(bad, ms(1100), milliseconds(0));
+    directory.apply(bad, ms(1100));
     CHECK(candidates() == 0);
 }
 
 TEST_CASE_FIXTURE(one_upstream, "upstream_directory: cold time stated: cold for at least that long")
 {
-    directory.apply(entry(11, false, milliseconds(2000)), ms(1100), milliseconds(0));
+    directory.apply(entry(11, false, milliseconds(2000)), ms(1100));
     CHECK(known().coldUntil >= ms(3100));
-    directory.apply(entry(12), ms(1200), milliseconds(0));
+    directory.apply(entry(12), ms(1200));
     CHECK(known().coldUntil >= ms(3100));
 }
 
@@ -126,11 +127,11 @@
                   "upstream_directory: lapsed after an outage: usable until the grace period ends")
 {
     directory.keepLapsedUntil(ms(4000));
-    directory.apply(removal(12), ms(2000), milliseconds(0));
+    directory.apply(removal(12), ms(2000));
     CHECK(candidates() == 1);
     SUBCASE("the entry returns: stays a candidate")
     {
-        directory.apply(entry(13), ms(3000), milliseconds(0));
+        directory.apply(entry(13), ms(3000));
         directory.advance(ms(4100));
         CHECK(candidates() == 1);
     }
@@ -144,10 +145,10 @@
 TEST_CASE_FIXTURE(one_upstream, "upstream_directory: draining and lapsed: no candidate at once")
 {
     directory.keepLapsedUntil(ms(4000));
-    directory.apply(entry(11, true), ms(1900), milliseconds(0));
-    directory.apply(removal(12), ms(2000), milliseconds(0));
-    directory.apply(entry(13), ms(2100), milliseconds(0));
-    directory.apply(removal(14), ms(4200), milliseconds(0));
+    directory.apply(entry(11, true), ms(1900));
+    directory.apply(removal(12), ms(2000));
+    directory.apply(entry(13), ms(2100));
+    directory.apply(removal(14), ms(4200));
     CHECK(candidates() == 0);
 }
 
@@ -164,12 +165,26 @@
 TEST_CASE_FIXTURE(one_upstream,
                   "upstream_directory: a listing without the evacuation: no longer in force")
 {
-    directory.apply(evacuation(11, false), ms(1100), milliseconds(0));
+    directory.apply(evacuation(11, false), ms(1100));
     const std::vector<record_change> listing{entry(10)};
     directory.retain(listing, 12, ms(1200));
     CHECK(candidates() == 1);
 }
 
+// Guards against the full load on the cold upstreams of a zone that was taken back while the store
+// dropped its history.
+TEST_CASE_FIXTURE(one_upstream,
+                  "upstream_directory: a listing ends an evacuation: cold for the given time")
+{
+    directory.setReturnColdTime(milliseconds(2400));
+    directory.apply(evacuation(11, false), ms(1100));
+    const std::vector<record_change> listing{entry(10)};
+    directory.retain(listing, 12, ms(1200));
+    CHECK(known().coldUntil == ms(3600));
+    directory.retain(listing, 13, ms(2000));
+    CHECK(known().coldUntil == ms(3600));
+}
+
 namespace {
 
 /// An upstream whose entry was last written with sequence number 9, in a store that is restored
@@ -181,7 +196,7 @@
         directory.keepLapsedUntil(ms(4200));
         directory.onStoreRestored(ms(6800));
         for (const record_change &change : copy) {
-            directory.apply(change, ms(2000), milliseconds(0));
+            directory.apply(change, ms(2000));
         }
         directory.retain(copy, 8, ms(2000));
     }
@@ -200,7 +215,7 @@
 TEST_CASE_FIXTURE(upstream_of_restored_store,
                   "upstream_directory: draining, restored as ready: stays draining")
 {
-    directory.apply(written(9, 12, true), ms(1100), milliseconds(0));
+    directory.apply(written(9, 12, true), ms(1100));
     restore({written(5, 4)});
     CHECK(candidates() == 0);
     directory.advance(ms(10000));
@@ -208,12 +223,12 @@
     CHECK(known().isListed);
     SUBCASE("its removal in the restored store counts")
     {
-        directory.apply(removal(9), ms(10000), milliseconds(0));
+        directory.apply(removal(9), ms(10000));
         CHECK_FALSE(known().isListed);
     }
     SUBCASE("its next start counts")
     {
-        directory.apply(written(1, 9, false, 9000), ms(10000), milliseconds(0));
+        directory.apply(written(1, 9, false, 9000), ms(10000));
         CHECK(candidates() == 1);
     }
 }
@@ -221,11 +236,11 @@
 TEST_CASE_FIXTURE(upstream_of_restored_store,
                   "upstream_directory: entry restored and written again: the last one counts")
 {
-    directory.apply(written(9, 12), ms(1100), milliseconds(0));
+    directory.apply(written(9, 12), ms(1100));
     restore({written(5, 4)});
     CHECK(candidates() == 1);
-    directory.apply(written(9, 6), ms(2100), milliseconds(0));
-    directory.apply(written(10, 9, true), ms(2200), milliseconds(0));
+    directory.apply(written(9, 6), ms(2100));
+    directory.apply(written(10, 9, true), ms(2200));
     CHECK(candidates() == 0);
 }
 
@@ -233,14 +248,14 @@
                   "upstream_directory: gone, restored as ready: no candidate until it has surely "
                   "written again")
 {
-    directory.apply(written(9, 12), ms(1100), milliseconds(0));
-    directory.apply(removal(13), ms(1200), milliseconds(0));
+    directory.apply(written(9, 12), ms(1100));
+    directory.apply(removal(13), ms(1200));
     restore({written(9, 4)});
     directory.advance(ms(6700));
     CHECK(candidates() == 0);
     SUBCASE("the entry expires")
     {
-        directory.apply(removal(9), ms(6700), milliseconds(0));
+        directory.apply(removal(9), ms(6700));
         directory.advance(ms(10000));
         CHECK(candidates() == 0);
     }
@@ -251,7 +266,7 @@
     }
     SUBCASE("the upstream writes again")
     {
-        directory.apply(written(10, 9), ms(6700), milliseconds(0));
+        directory.apply(written(10, 9), ms(6700));
         CHECK(candidates() == 1);
     }
 }
@@ -260,8 +275,8 @@
                   "upstream_directory: started again, restored as it was before: the later start "
                   "counts")
 {
-    directory.apply(written(9, 12, false, 1000), ms(1100), milliseconds(0));
-    directory.apply(written(2, 13, true, 1900), ms(1900), milliseconds(0));
+    directory.apply(written(9, 12, false, 1000), ms(1100));
+    directory.apply(written(2, 13, true, 1900), ms(1900));
     restore({written(9, 4, false, 1000)});
     CHECK(candidates() == 0);
     CHECK(known().entry.startedAtMs == 1900);
@@ -271,9 +286,9 @@
                   "upstream_directory: started again long after the restoration, by a clock that "
                   "was set back: the later entry counts")
 {
-    directory.apply(written(9, 12, false, 9000), ms(1100), milliseconds(0));
+    directory.apply(written(9, 12, false, 9000), ms(1100));
     restore({written(9, 4, false, 9000)});
-    directory.apply(written(1, 9, true, 8000), ms(7000), milliseconds(0));
+    directory.apply(written(1, 9, true, 8000), ms(7000));
     CHECK(candidates() == 0);
 }
 
@@ -281,12 +296,13 @@
                   "upstream_directory: evacuation requested after the copy: in force until it can "
                   "be back")
 {
-    directory.apply(evacuation(12, false), ms(1100), milliseconds(0));
+    directory.setReturnColdTime(milliseconds(2400));
+    directory.apply(evacuation(12, false), ms(1100));
     restore({entry(4)});
     CHECK(candidates() == 0);
     SUBCASE("it is requested again")
     {
-        directory.apply(evacuation(9, false), ms(3000), milliseconds(0));
+        directory.apply(evacuation(9, false), ms(3000));
         directory.advance(ms(10000));
         CHECK(candidates() == 0);
     }
@@ -294,5 +310,6 @@
     {
         directory.advance(ms(4200));
         CHECK(candidates() == 1);
+        CHECK(known().coldUntil == ms(6600));
     }
 }
