Mark evacuated zones in the store for hosts that start later

Cause: upstreams of a zone that returns count as cold for two heartbeats, but only at hosts that saw the zone evacuated. A host that starts later lists the store, which says what holds now and not what held before, and sends its full share to entries that do not state yet that their upstreams are cold.

Evidence: the listing has no trace of the evacuation.

Change: hosts that read the store keep a mark there for each evacuated zone and remove it two heartbeats after the zone was taken back. Whoever learns of a mark of a zone in use counts its upstreams as cold for two heartbeats. This needs no other host, does not doubt zones that nobody evacuated after a common start, and covers an evacuation that begins and ends between two listings.

--- a/include/figstair/core/fleet_records.h
+++ b/include/figstair/core/fleet_records.h
@@ -104,6 +104,12 @@
 {
 };
 
+/// Note of the hosts that a zone was evacuated. It stays in the store for a while after the zone is
+/// taken back, for hosts that have not seen the evacuation.
+struct evacuation_mark
+{
+};
+
 /// The difference between two configurations.
 struct config_patch
 {
@@ -113,7 +119,7 @@
     std::vector<std::string> removedRoutes; ///< names
 };
 
-enum class record_kind : std::uint8_t { config, upstream, evacuation, host, key };
+enum class record_kind : std::uint8_t { config, upstream, evacuation, host, key, evacuationMark };
 
 /// A change of one record of the store.
 struct record_change
@@ -132,7 +138,7 @@
     std::uint64_t upstreamId = 0; ///< for upstreams
     std::uint64_t revision = 0; ///< store revision of this change
     std::variant<removed, unreadable, route_config, upstream_record, zone_evacuation, host_record,
-                 shared_key, config_patch>
+                 shared_key, config_patch, evacuation_mark>
         content;
 };
 
--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -35,6 +36,13 @@
     bool isFromEarlierEpoch = false;
 };
 
+/// A change of an evacuation_mark that is due.
+struct mark_task
+{
+    std::string zone;
+    bool isRemoval = false;
+};
+
 /// Every upstream that packets may go to. The states of an upstream:
 /// - listed: has a readable entry in the store;
 /// - lapsing: its entry was removed during the grace period of keepLapsedUntil(); used as if listed
@@ -63,8 +71,9 @@
     /// force until the end of keepLapsedUntil().
     void onStoreRestored(monotonic_time deferralEnd);
 
-    /// Treats the entries of upstreams that a full @p listing of the store at @p revision lacks as
-    /// removed, and ends the evacuations that it lacks, unless they changed after it.
+    /// Treats the entries of upstreams and the evacuation marks that a full @p listing of the store
+    /// at @p revision lacks as removed, and ends the evacuations that it lacks, unless they changed
+    /// after it. The marks of the listing have to be applied after this.
     void retain(boost::span<const record_change> listing, std::uint64_t revision,
                 monotonic_time now);
 
@@ -103,9 +112,16 @@
     const std::string &zoneName(std::uint16_t zone) const { return m_zoneNames[zone]; }
     bool isEvacuated(std::uint16_t zone) const;
 
+    /// A zone that is evacuated and has no evacuation_mark of this evacuation, or one whose mark
+    /// has stood long enough after the zone was taken back; if any.
+    std::optional<mark_task> dueMark(monotonic_time now) const;
+
 private:
     struct evacuation
     {
+        monotonic_time endedAt{}; ///< or when a mark showed an end that was not seen
+        std::uint64_t markRevision = 0; ///< last change of the evacuation_mark
+        bool isMarked = false;
         std::uint64_t revision = 0;
         bool isInForce = false;
         bool isLapsing = false; ///< in force until the grace period ends
@@ -116,7 +132,8 @@
 
     void applyUpstream(const record_change &change, monotonic_time now);
     void applyEvacuation(const record_change &change, monotonic_time now);
-    void chillZone(const std::string &zone, monotonic_time now);
+    void applyMark(const record_change &change, monotonic_time now);
+    void endEvacuation(const std::string &name, evacuation &zone, monotonic_time now);
     upstream_index add(std::uint64_t id);
     bool isOutdated(const known_upstream &upstream, const upstream_record &entry,
                     monotonic_time now) const;
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -110,6 +110,9 @@
                       const std::vector<record_change> &records);
     void offerKeyIfMissing(const std::vector<record_change> &listing);
     void announceIfMissing(const std::vector<record_change> &listing);
+    /// Notes in the store which zones were evacuated recently.
+    void updateMarks(monotonic_time now);
+    void onMarkWritten(const mark_task &task, const store_reply<std::monostate> &reply);
     void loseAnnouncement();
     void continueAnnouncing();
     void onAnnouncementFailed(const char *call, const store_error &error);
@@ -132,6 +135,9 @@
     std::optional<monotonic_time> m_peerMessagesReadAt; ///< last onPeerMessagesRead()
     std::string m_newerPeerZone; ///< empty: no newer view was reported since the last pull
     monotonic_time m_firstLoadedAt{};
+    monotonic_time m_markDueSince{};
+    monotonic_time m_nextMark{};
+    bool m_isMarkPending = false;
     std::uint64_t m_leaseId = 0;
     bool m_isAnnounced = false;
     bool m_isAnnouncementPending = false;
--- a/include/figstair/store/fleet_store.h
+++ b/include/figstair/store/fleet_store.h
@@ -68,6 +68,12 @@
     /// Writes @p key as the hosts' shared key; fails with a conflict when there is one.
     virtual void offerKey(const shared_key &key, store_handler<std::monostate> handler) = 0;
 
+    /// Writes the evacuation_mark of @p zone.
+    virtual void markEvacuated(const std::string &zone, store_handler<std::monostate> handler) = 0;
+    /// Removes the evacuation_mark of @p zone; fails with a conflict if the zone is evacuated.
+    virtual void removeEvacuationMark(const std::string &zone,
+                                      store_handler<std::monostate> handler) = 0;
+
     /// The newest epoch that any answer stated, errors included; 0: none did.
     virtual std::uint64_t epoch() const = 0;
 
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -411,13 +411,20 @@
         return;
     }
     m_directory.apply(change, now);
-    if (change.kind == record_kind::evacuation || change.kind == record_kind::upstream) {
+    const auto logChange = [&](std::string_view event) {
         const bool isRemoved = std::holds_alternative<record_change::removed>(change.content);
-        m_output.logEvent(change.kind == record_kind::evacuation ? "evacuation" : "upstream_gone",
+        m_output.logEvent(event,
                           {{"zone", change.name},
                            {"upstream", toHex(change.upstreamId)},
                            {"removed", isRemoved ? "1" : "0"},
                            {"revision", std::to_string(change.revision)}});
+    };
+    if (change.kind == record_kind::evacuation) {
+        logChange("evacuation");
+    } else if (change.kind == record_kind::evacuationMark) {
+        logChange("evacuation_mark");
+    } else if (change.kind == record_kind::upstream) {
+        logChange("upstream_gone");
     }
 }
 
@@ -449,9 +456,17 @@
 void entry_core::onListing(const std::vector<record_change> &listing, std::uint64_t revision)
 {
     for (const record_change &change : listing) {
-        onRecordChange(change);
+        if (change.kind != record_kind::evacuationMark) {
+            onRecordChange(change);
+        }
     }
     m_directory.retain(listing, revision, m_clock.monotonic());
+    // A mark without an evacuation applies to the upstreams of the listing.
+    for (const record_change &change : listing) {
+        if (change.kind == record_kind::evacuationMark) {
+            onRecordChange(change);
+        }
+    }
     m_roster.retain(listing);
 }
 
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -84,6 +84,8 @@
         applyUpstream(change, now);
     } else if (change.kind == record_kind::evacuation) {
         applyEvacuation(change, now);
+    } else if (change.kind == record_kind::evacuationMark) {
+        applyMark(change, now);
     }
 }
 
@@ -141,17 +143,34 @@
     // Any record under the zone's name requests its evacuation, even an unreadable one.
     const bool isInForce = !std::holds_alternative<record_change::removed>(change.content);
     if (zone.isInForce && !isInForce) {
-        chillZone(change.name, now);
+        endEvacuation(change.name, zone, now);
     }
     zone.isInForce = isInForce;
     invalidateCandidates();
 }
 
-/// Counts the listed upstreams of @p zone as cold: some may have become cold, and their entries do
-/// not say so yet.
-void upstream_directory::chillZone(const std::string &zone, monotonic_time now)
+void upstream_directory::applyMark(const record_change &change, monotonic_time now)
 {
-    const std::uint16_t number = zoneNumber(zone);
+    evacuation &zone = m_evacuations[change.name];
+    if (change.revision <= zone.markRevision) {
+        return;
+    }
+    zone.markRevision = change.revision;
+    zone.isMarked = !std::holds_alternative<record_change::removed>(change.content);
+    if (zone.isMarked && !zone.isInForce) {
+        // The zone was evacuated and taken back, and this host may not have seen it.
+        endEvacuation(change.name, zone, now);
+    }
+}
+
+/// Counts the listed upstreams of the zone @p name as cold: some may have become cold, and their
+/// entries do not say so yet.
+void upstream_directory::endEvacuation(const std::string &name, evacuation &zone,
+                                       monotonic_time now)
+{
+    zone.isInForce = false;
+    zone.endedAt = now;
+    const std::uint16_t number = zoneNumber(name);
     for (known_upstream &upstream : m_upstreams) {
         if (upstream.isListed && upstream.zone == number) {
             upstream.coldUntil = std::max(upstream.coldUntil, now + m_returnColdTime);
@@ -159,6 +178,20 @@
     }
 }
 
+std::optional<mark_task> upstream_directory::dueMark(monotonic_time now) const
+{
+    for (const auto &[name, zone] : m_evacuations) {
+        const bool hasCurrentMark = zone.isMarked && zone.markRevision >= zone.revision;
+        if (zone.isInForce && !zone.isLapsing && !hasCurrentMark) {
+            return mark_task{name, false};
+        }
+        if (zone.isMarked && !zone.isInForce && now - zone.endedAt >= m_returnColdTime) {
+            return mark_task{name, true};
+        }
+    }
+    return std::nullopt;
+}
+
 /// Whether @p entry, from a store that was just restored, may be older than what is known of
 /// @p upstream: an earlier entry, or the last one of an upstream that was removed since.
 bool upstream_directory::isOutdated(const known_upstream &upstream, const upstream_record &entry,
@@ -199,6 +232,8 @@
     }
     for (auto &[name, zone] : m_evacuations) {
         zone.revision = 0;
+        zone.markRevision = 0;
+        zone.isMarked = false;
         zone.isFromEarlierEpoch = true;
     }
     m_deferred.clear();
@@ -210,11 +245,14 @@
 {
     std::unordered_set<std::uint64_t> listedIds;
     std::unordered_set<std::string> evacuatedZones;
+    std::unordered_set<std::string> markedZones;
     for (const record_change &change : listing) {
         if (const auto *entry = std::get_if<upstream_record>(&change.content)) {
             listedIds.insert(entry->id);
         } else if (change.kind == record_kind::evacuation) {
             evacuatedZones.insert(change.name);
+        } else if (change.kind == record_kind::evacuationMark) {
+            markedZones.insert(change.name);
         }
     }
     for (known_upstream &upstream : m_upstreams) {
@@ -225,14 +263,16 @@
         remove(upstream, now);
     }
     for (auto &[name, zone] : m_evacuations) {
+        if (zone.markRevision <= revision && markedZones.count(name) == 0) {
+            zone.isMarked = false;
+        }
         if (!zone.isInForce || zone.revision > revision || evacuatedZones.count(name) != 0) {
             continue;
         }
         zone.isLapsing = zone.isFromEarlierEpoch && now < m_lapseGraceEnd;
         m_hasLapsing = m_hasLapsing || zone.isLapsing;
         if (!zone.isLapsing) {
-            zone.isInForce = false;
-            chillZone(name, now);
+            endEvacuation(name, zone, now);
         }
     }
     invalidateCandidates();
@@ -264,6 +304,14 @@
             change.content = zone_evacuation{};
             records.push_back(std::move(change));
         }
+        if (zone.isMarked) {
+            record_change change;
+            change.kind = record_kind::evacuationMark;
+            change.name = name;
+            change.revision = zone.markRevision;
+            change.content = evacuation_mark{};
+            records.push_back(std::move(change));
+        }
     }
 }
 
@@ -292,8 +340,7 @@
     for (auto &[name, zone] : m_evacuations) {
         if (zone.isLapsing) {
             zone.isLapsing = false;
-            zone.isInForce = false;
-            chillZone(name, now);
+            endEvacuation(name, zone, now);
         }
     }
     invalidateCandidates();
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -29,6 +29,14 @@
 /// Interval of requests to seeds while a host that has just started cannot reach the store.
 constexpr milliseconds seedRequestInterval{250};
 
+/// Interval between writes of evacuation marks, in which the change comes back from the store.
+constexpr milliseconds markInterval{500};
+
+/// A host that is not the first in the ranking writes an evacuation mark that is due for this long,
+/// if the store answered it within the last maxMarkReadAge.
+constexpr milliseconds markTakeoverDelay{2000};
+constexpr milliseconds maxMarkReadAge{2500};
+
 /// Base delay after a failed announcement; a random delay of up to the same length is added.
 constexpr milliseconds announcementRetryDelay{1000};
 
@@ -52,8 +60,8 @@
         }
     }
     for (const record_change &known : before) {
-        const bool mayBeRemoved = known.kind == record_kind::upstream
-            || known.kind == record_kind::evacuation || known.kind == record_kind::host;
+        const bool mayBeRemoved =
+            known.kind != record_kind::config && known.kind != record_kind::key;
         if (mayBeRemoved && known.revision <= listing.revision && listed.count(keyOf(known)) == 0) {
             changes.push_back(known);
             changes.back().content = record_change::removed{};
@@ -111,9 +119,49 @@
         && now >= m_nextAnnouncement) {
         continueAnnouncing();
     }
+    updateMarks(now);
     m_environment.count(entry_counter::storeCalls, m_store->takeCallCount());
 }
 
+void store_session::updateMarks(monotonic_time now)
+{
+    const std::optional<mark_task> task = m_core.directory().dueMark(now);
+    if (!task) {
+        m_markDueSince = now;
+        return;
+    }
+    const milliseconds delay = rank() == 0 ? milliseconds::zero() : markTakeoverDelay;
+    if (!m_feed.isLoaded() || m_isWithdrawn || m_isMarkPending || now < m_nextMark
+        || now - m_markDueSince < delay || m_feed.lastReadAge(now) > maxMarkReadAge) {
+        return;
+    }
+    m_isMarkPending = true;
+    const auto onDone = [this, task = *task](const store_reply<std::monostate> &reply) {
+        onMarkWritten(task, reply);
+    };
+    if (task->isRemoval) {
+        m_store->removeEvacuationMark(task->zone, onDone);
+    } else {
+        m_store->markEvacuated(task->zone, onDone);
+    }
+}
+
+void store_session::onMarkWritten(const mark_task &task, const store_reply<std::monostate> &reply)
+{
+    m_isMarkPending = false;
+    m_nextMark = m_clock.monotonic() + markInterval;
+    const auto *error = std::get_if<store_error>(&reply);
+    // A conflict: the zone is evacuated again.
+    if (error != nullptr && error->code != store_error::reason::conflict) {
+        recordFailure("evacuation_mark", *error);
+    }
+    m_environment.logEvent(
+        "evacuation_mark_write",
+        {{"zone", task.zone},
+         {"removed", task.isRemoval ? "1" : "0"},
+         {"outcome", error == nullptr ? std::string("done") : std::string(toText(error->code))}});
+}
+
 monotonic_time store_session::nextDeadline()
 {
     const monotonic_time next = m_feed.nextDeadline(m_clock.monotonic(), rank());
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -253,6 +253,7 @@
         return json::array({content.baseVersion, toJson(content.changed), content.removedRoutes});
     }
     json operator()(const shared_key &content) const { return toJson(content.key); }
+    json operator()(const evacuation_mark &) const { return nullptr; }
 };
 
 json toJson(const record_change &change)
@@ -266,7 +267,7 @@
 {
     record_change change;
     const auto kind = countFrom(value.at(0));
-    if (kind > static_cast<unsigned>(record_kind::key)) {
+    if (kind > static_cast<unsigned>(record_kind::evacuationMark)) {
         throwDecodeError("record kind is unknown", value);
     }
     change.kind = static_cast<record_kind>(kind);
@@ -301,6 +302,9 @@
             config_patch{integerFrom<std::uint64_t>(content.at(0)), configFrom(content.at(1)),
                          content.at(2).get<std::vector<std::string>>()};
         break;
+    case 8:
+        change.content = evacuation_mark{};
+        break;
     default:
         throwDecodeError("record content type is unknown", value);
     }
--- a/tests/core/upstream_directory_test.cpp
+++ b/tests/core/upstream_directory_test.cpp
@@ -187,6 +187,81 @@
 
 namespace {
 
+/// An upstream of a zone whose evacuations are marked in the store.
+struct upstream_with_marks : public one_upstream
+{
+    upstream_with_marks() { directory.setReturnColdTime(milliseconds(2400)); }
+
+    static record_change mark(std::uint64_t revision, bool isRemoved = false)
+    {
+        record_change change;
+        change.kind = record_kind::evacuationMark;
+        change.name = "north";
+        change.revision = revision;
+        if (!isRemoved) {
+            change.content = evacuation_mark{};
+        }
+        return change;
+    }
+};
+
+} // namespace
+
+// Guards against the full load on the cold upstreams of a zone that was taken back just before this
+// host started or listed the store.
+TEST_CASE_FIXTURE(upstream_with_marks,
+                  "upstream_directory: a mark of an evacuation that was not seen: cold for the "
+                  "given time")
+{
+    directory.apply(mark(12), ms(1100));
+    CHECK(candidates() == 1);
+    CHECK(known().coldUntil == ms(3500));
+    directory.apply(mark(12), ms(2000)); // listed again
+    CHECK(known().coldUntil == ms(3500));
+}
+
+TEST_CASE_FIXTURE(upstream_with_marks,
+                  "upstream_directory: a zone is evacuated and taken back: marked, and no longer "
+                  "once its upstreams have stated that they are cold")
+{
+    CHECK_FALSE(directory.dueMark(ms(1000)));
+    directory.apply(evacuation(11, false), ms(1100));
+    REQUIRE(directory.dueMark(ms(1100)));
+    CHECK(directory.dueMark(ms(1100))->zone == "north");
+    CHECK_FALSE(directory.dueMark(ms(1100))->isRemoval);
+    directory.apply(mark(12), ms(1200));
+    CHECK_FALSE(directory.dueMark(ms(1200)));
+    directory.apply(evacuation(13, true), ms(5000));
+    CHECK_FALSE(directory.dueMark(ms(7300)));
+    SUBCASE("no other evacuation")
+    {
+        REQUIRE(directory.dueMark(ms(7400)));
+        CHECK(directory.dueMark(ms(7400))->isRemoval);
+        directory.apply(mark(14, true), ms(7500));
+        CHECK_FALSE(directory.dueMark(ms(9000)));
+    }
+    SUBCASE("evacuated again before that: marked again")
+    {
+        directory.apply(evacuation(14, false), ms(6000));
+        REQUIRE(directory.dueMark(ms(6000)));
+        CHECK_FALSE(directory.dueMark(ms(6000))->isRemoval);
+        directory.apply(mark(15), ms(6100));
+        CHECK_FALSE(directory.dueMark(ms(9000)));
+    }
+}
+
+TEST_CASE_FIXTURE(upstream_with_marks,
+                  "upstream_directory: a listing lacks a mark: it is no longer removed")
+{
+    directory.apply(mark(12), ms(1100));
+    REQUIRE(directory.dueMark(ms(4000)));
+    const std::vector<record_change> listing{entry(10)};
+    directory.retain(listing, 13, ms(4000));
+    CHECK_FALSE(directory.dueMark(ms(4000)));
+}
+
+namespace {
+
 /// An upstream whose entry was last written with sequence number 9, in a store that is restored
 /// from an older copy at time 2000. The grace period for missing entries ends at 4200.
 struct upstream_of_restored_store : public one_upstream
--- a/tests/fuzz/fuzzed_host.cpp
+++ b/tests/fuzz/fuzzed_host.cpp
@@ -66,6 +66,8 @@
     void endLease(std::uint64_t, store_handler<std::monostate>) override { }
     void announce(const host_record &, std::uint64_t, store_handler<std::monostate>) override { }
     void offerKey(const shared_key &, store_handler<std::monostate>) override { }
+    void markEvacuated(const std::string &, store_handler<std::monostate>) override { }
+    void removeEvacuationMark(const std::string &, store_handler<std::monostate>) override { }
     std::uint64_t epoch() const override { return 0; }
     std::uint64_t takeCallCount() override { return 0; }
 
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -44,6 +44,17 @@
         offeredKeys.push_back(key);
         offers.push_back(std::move(handler));
     }
+    void markEvacuated(const std::string &zone, store_handler<std::monostate> handler) override
+    {
+        markedZones.push_back(zone);
+        markCalls.push_back(std::move(handler));
+    }
+    void removeEvacuationMark(const std::string &zone,
+                              store_handler<std::monostate> handler) override
+    {
+        unmarkedZones.push_back(zone);
+        markCalls.push_back(std::move(handler));
+    }
     std::uint64_t epoch() const override { return storeEpoch; }
     std::uint64_t takeCallCount() override { return 0; }
 
@@ -56,6 +67,9 @@
     std::vector<store_handler<std::monostate>> announcements;
     std::vector<store_handler<std::monostate>> offers;
     std::vector<shared_key> offeredKeys;
+    std::vector<std::string> markedZones;
+    std::vector<std::string> unmarkedZones;
+    std::vector<store_handler<std::monostate>> markCalls; ///< of both kinds
     std::vector<std::uint64_t> announcementLeases;
     std::vector<std::uint64_t> endedLeases;
 };
@@ -853,3 +867,133 @@
     advance(2000);
     CHECK(std::count(environment.events.begin(), environment.events.end(), "store_restored") == 1);
 }
+
+namespace {
+
+/// A session in a world with the upstream 1 in the zone "z", which is evacuated and taken back.
+struct session_and_evacuation : public session_with_store
+{
+    static record_change change(record_kind kind, std::uint64_t revision, bool isRemoved = false)
+    {
+        record_change result;
+        result.kind = kind;
+        result.name = "z";
+        result.revision = revision;
+        if (!isRemoved && kind == record_kind::evacuation) {
+            result.content = zone_evacuation{};
+        } else if (!isRemoved) {
+            result.content = evacuation_mark{};
+        }
+        return result;
+    }
+    bool isCold()
+    {
+        const upstream_directory &directory = core->directory();
+        return clock.monotonic() < directory.at(directory.findTag(upstreamTag(1))).coldUntil;
+    }
+};
+
+} // namespace
+
+// Guards against a host that starts just after a zone was taken back and sends its full share to
+// upstreams that do not state yet that they are cold.
+TEST_CASE_FIXTURE(session_and_evacuation,
+                  "store_session: started after a zone was taken back: its upstreams count as cold "
+                  "for two heartbeats")
+{
+    answerList(20, {change(record_kind::evacuationMark, 12), upstreamChange(1, 10)});
+    CHECK(isCold());
+    advance(settings.heartbeat.count() * 2 - 100);
+    CHECK(isCold());
+    advance(200);
+    CHECK_FALSE(isCold());
+}
+
+TEST_CASE_FIXTURE(session_and_evacuation,
+                  "store_session: started with a view of a seed, after a zone was taken back: its "
+                  "upstreams count as cold")
+{
+    session_and_evacuation seed;
+    seed.start(20, {upstreamChange(1, 10)});
+    seed.answerWatch(21, {change(record_kind::evacuation, 21)});
+    seed.answerWatch(22, {change(record_kind::evacuationMark, 22)});
+    seed.answerWatch(23, {change(record_kind::evacuation, 23, true)});
+    store->lists.back()(store_error{store_error::reason::unreachable, "reset"});
+    advance(300);
+    REQUIRE_FALSE(environment.unsignedSent.empty());
+    view_snapshot snapshot;
+    snapshot.nonce = std::get<view_request>(environment.unsignedSent.back()).nonce;
+    snapshot.revision = 23;
+    snapshot.records = seed.core->snapshot();
+    session->onSnapshot(snapshot);
+    CHECK(isCold());
+}
+
+TEST_CASE_FIXTURE(session_and_evacuation,
+                  "store_session: a zone is evacuated and taken back between two listings: its "
+                  "upstreams count as cold, here and at the hosts that get the difference")
+{
+    start(20, {upstreamChange(1, 10)});
+    session_and_evacuation other;
+    other.answerList(20, {upstreamChange(1, 10)});
+    environment.relayed.clear();
+    failWatch(store_error::reason::historyGone);
+    answerList(40, {change(record_kind::evacuationMark, 32), upstreamChange(1, 10)});
+    CHECK(isCold());
+    deliver(environment.relayed, other);
+    CHECK(other.isCold());
+}
+
+TEST_CASE_FIXTURE(session_and_evacuation,
+                  "store_session: the first host: marks an evacuation, and removes the mark after "
+                  "two heartbeats in use")
+{
+    start(20, {upstreamChange(1, 10)});
+    answerWatch(21, {change(record_kind::evacuation, 21)});
+    REQUIRE(store->markedZones.size() == 1);
+    CHECK(store->markedZones.front() == "z");
+    store->markCalls.back()(std::monostate{});
+    answerWatch(22, {change(record_kind::evacuationMark, 22)});
+    advance(1000);
+    CHECK(store->markedZones.size() == 1);
+    answerWatch(23, {change(record_kind::evacuation, 23, true)});
+    advance(settings.heartbeat.count());
+    CHECK(store->unmarkedZones.empty());
+    answerWatch(23, {});
+    advance(settings.heartbeat.count());
+    CHECK(store->unmarkedZones.size() == 1);
+}
+
+TEST_CASE_FIXTURE(session_and_evacuation,
+                  "store_session: the store refuses to mark an evacuation: tried again, after a "
+                  "pause")
+{
+    start(20, {upstreamChange(1, 10)});
+    answerWatch(21, {change(record_kind::evacuation, 21)});
+    for (std::size_t attempt = 1; attempt <= 3; ++attempt) {
+        REQUIRE(store->markCalls.size() == attempt);
+        store->markCalls.back()(store_error{store_error::reason::refused, "429"});
+        advance(400);
+        CHECK(store->markCalls.size() == attempt);
+        advance(200);
+    }
+}
+
+TEST_CASE_FIXTURE(session_in_zone,
+                  "store_session: the first host does not mark an evacuation: another host does")
+{
+    record_change evacuation;
+    evacuation.kind = record_kind::evacuation;
+    evacuation.name = "far";
+    evacuation.revision = 12;
+    evacuation.content = zone_evacuation{};
+    answerList(20, {evacuation});
+    receiveReports(2, 20);
+    advance(400);
+    CHECK(store->markedZones.empty());
+    for (int step = 0; step < 20; ++step) {
+        receiveReports(2, 20);
+        advance(100);
+    }
+    CHECK(store->markedZones.size() == 1);
+}
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -247,3 +247,21 @@
     CHECK(put.at("lease") == 7);
     CHECK(put.at("key") == "figstair/hosts/h");
 }
+
+TEST_CASE("platform_store: marks of evacuations: removed only from a zone that is in use")
+{
+    store_client client([](const received_request &) {
+        return scripted_answer{200, R"({"revision":8})"};
+    });
+    client.reply<std::monostate>(
+        [&](auto handler) { client.store.markEvacuated("north", handler); });
+    client.reply<std::monostate>(
+        [&](auto handler) { client.store.removeEvacuationMark("north", handler); });
+    const auto requests = client.server.requests();
+    const json marked = json::parse(requests.at(0).body);
+    CHECK(marked.at("put").at(0).at("key") == "figstair/ev/north");
+    const json removed = json::parse(requests.at(1).body);
+    CHECK(removed.at("remove") == json::array({"figstair/ev/north"}));
+    CHECK(removed.at("precondition")
+          == json::array({json{{"key", "op/evacuate/north"}, {"revision", 0}}}));
+}
--- a/tests/platform/record_format_test.cpp
+++ b/tests/platform/record_format_test.cpp
@@ -149,6 +149,17 @@
     CHECK(std::holds_alternative<zone_evacuation>(change.content));
 }
 
+TEST_CASE("record_format: the mark of an evacuation: names its zone, and its key is no longer than "
+          "that of the evacuation")
+{
+    const std::string key = platform::evacuationMarkRecordKey("north-1");
+    const record_change change = decoded(key, "{}");
+    CHECK(change.kind == record_kind::evacuationMark);
+    CHECK(change.name == "north-1");
+    CHECK(std::holds_alternative<evacuation_mark>(change.content));
+    CHECK(key.size() <= platform::evacuationRecordKey("north-1").size());
+}
+
 TEST_CASE("record_format: a host announcement and the shared key: read back as written")
 {
     host_record host{"h", "z", *parseEndpoint("10.0.0.1:7720"), 17};
--- a/tests/wire/entry_message_test.cpp
+++ b/tests/wire/entry_message_test.cpp
@@ -54,6 +54,9 @@
     change.name = "z";
     change.content = zone_evacuation{};
     changes.records.push_back(change);
+    change.kind = record_kind::evacuationMark;
+    change.content = evacuation_mark{};
+    changes.records.push_back(change);
     change.kind = record_kind::host;
     change.content = host_record{"z", "zone", {}, 3};
     changes.records.push_back(change);
