Keep a second between the owners of a cold upstream

Cause: one host, the first by a hash of those that are heard, may send flows to a cold upstream. A host that has just started has heard nobody, so each took itself for the owner, and nobody knew what an earlier owner had sent in the same second.

Change: a host uses no allowance for 1.1 s after its first view or a freeze, and counts others as possible owners for 1.1 s after their last message, or until their first report is due. Successive owners are then further apart than the window of the limit. A start alone still makes no upstream cold.

--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/entry_core.h
@@ -137,6 +137,7 @@
     monotonic_time m_lastPacketAt{};
     monotonic_time m_resumedAt{};
     bool m_isResuming = false;
+    bool m_hasView = false; ///< onListing() was called
 };
 
 } // namespace figstair
--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/peer_roster.h
@@ -43,6 +43,10 @@
     /// Notes how many new flows the known host @p name gets.
     void setNewFlowsPerSecond(const std::string &name, double rate);
 
+    /// This host starts to take part, or did not run for a while: it does not know what other hosts
+    /// sent meanwhile.
+    void onResumed(monotonic_time now) { m_resumedAt = now; }
+
     /// Notes hosts that fell silent. Forgets hosts that the store does not list and that sent no
     /// message for a while.
     void advance(monotonic_time now);
@@ -65,6 +69,13 @@
     const std::string &ownerOf(std::uint64_t key, const std::string &zone,
                                monotonic_time now) const;
 
+    /// Whether this host is the one that may send flows to the cold upstream with the id @p key in
+    /// @p zone. Stricter than owns(): hosts that were heard or first listed a short while ago count
+    /// as alive, and a host that has just started or resumed sends none for a second. Hosts that
+    /// succeed each other as owners are thus at least a second apart, in which the flows of the
+    /// first do not count any more.
+    bool ownsAllowance(std::uint64_t key, const std::string &zone, monotonic_time now) const;
+
     /// Number of live hosts ranked before this one for @p key: in this host's zone in a large
     /// fleet, in all zones in a small one. Hosts with more CPU rank first, then rendezvous hashing
     /// decides. In a large fleet a host that the store listed recently counts as live, since it
@@ -101,18 +112,25 @@
     void updateSameZoneCount();
     bool isPresumedAlive(const peer &other, monotonic_time now) const;
     void noteChange(const std::string &zone, monotonic_time now);
+    /// Whether @p other may still send flows to cold upstreams that it owns.
+    bool mayUseAllowance(const peer &other, monotonic_time now) const;
+    void expireOwnerCaches(monotonic_time now) const;
+    /// The owner of @p key among this host and the others for which @p counts returns true.
+    template <typename predicate>
     const std::string &findOwner(std::uint64_t key, const std::string &zone,
-                                 monotonic_time now) const;
+                                 predicate counts) const;
 
     host_record m_self;
     std::map<std::string, peer> m_peers;
     std::unordered_map<std::string, monotonic_time> m_zoneLastHeardAt;
     std::size_t m_sameZoneCount = 0; ///< other hosts in this host's zone
     monotonic_time m_changedAt{};
-    /// Owners by key; cleared periodically, last at m_ownerCacheClearedAt, and when a host joins or
-    /// leaves.
+    monotonic_time m_resumedAt{}; ///< last onResumed()
+    /// Owners by key, for ownerOf() and ownsAllowance(); cleared periodically, last at
+    /// m_ownerCachesClearedAt, and when a host joins or leaves.
     mutable std::unordered_map<std::uint64_t, std::string> m_ownerCache;
-    mutable monotonic_time m_ownerCacheClearedAt{};
+    mutable std::unordered_map<std::uint64_t, std::string> m_allowanceOwnerCache;
+    mutable monotonic_time m_ownerCachesClearedAt{};
 };
 
 } // namespace figstair
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -349,6 +349,7 @@
     m_output.count(entry_counter::freezes, 1);
     const monotonic_time now = m_clock.monotonic();
     m_silence.onFreeze();
+    m_roster.onResumed(now);
     if (gap >= longFreezeThreshold) {
         m_isResuming = true;
         m_resumedAt = now;
@@ -455,6 +456,10 @@
 
 void entry_core::onListing(const std::vector<record_change> &listing, std::uint64_t revision)
 {
+    if (!m_hasView) {
+        m_hasView = true;
+        m_roster.onResumed(m_clock.monotonic());
+    }
     for (const record_change &change : listing) {
         if (change.kind != record_kind::evacuationMark) {
             onRecordChange(change);
--- a/src/core/flow_placer.cpp
+++ b/src/core/flow_placer.cpp
@@ -115,7 +115,7 @@
     const known_upstream &known = m_directory.at(upstream);
     if (request.coldFlowsPerSecond == 0
         || m_health.eligibilityOf(upstream, now) == placement_eligibility::none
-        || !m_roster.owns(known.entry.id, known.entry.zone, now)) {
+        || !m_roster.ownsAllowance(known.entry.id, known.entry.zone, now)) {
         return;
     }
     const auto recent = m_coldFlowTimes.find(known.entry.id);
--- a/src/core/peer_roster.cpp
+++ b/src/core/peer_roster.cpp
@@ -34,6 +34,10 @@
 /// Owners are recomputed after this time, so silent hosts are noticed as often.
 constexpr milliseconds ownerCacheLifetime{100};
 
+/// The window of the limits of cold upstreams, and the longest time between two reports of a live
+/// host in a full mesh.
+constexpr milliseconds allowanceHandoverTime = milliseconds(1000) + fullMeshInterval;
+
 /// Class of a CPU limit by powers of two; hosts of one class rank as equal.
 unsigned cpuClass(unsigned cpuMillicores)
 {
@@ -174,6 +178,7 @@
 void peer_roster::noteChange(const std::string &zone, monotonic_time now)
 {
     m_ownerCache.clear();
+    m_allowanceOwnerCache.clear();
     // The routers send packets to the hosts of the caller's zone, and to those of the nearest zones
     // while it has none.
     const bool hasLiveHost = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
@@ -262,28 +267,36 @@
         || now - found->second <= (isLargeFleet() ? zoneSilenceTimeout : minSilenceTimeout);
 }
 
-const std::string &peer_roster::ownerOf(std::uint64_t key, const std::string &zone,
-                                        monotonic_time now) const
+void peer_roster::expireOwnerCaches(monotonic_time now) const
 {
-    if (now - m_ownerCacheClearedAt >= ownerCacheLifetime) {
+    if (now - m_ownerCachesClearedAt >= ownerCacheLifetime) {
         m_ownerCache.clear();
-        m_ownerCacheClearedAt = now;
+        m_allowanceOwnerCache.clear();
+        m_ownerCachesClearedAt = now;
     }
+}
+
+const std::string &peer_roster::ownerOf(std::uint64_t key, const std::string &zone,
+                                        monotonic_time now) const
+{
+    expireOwnerCaches(now);
     const auto [position, isNew] = m_ownerCache.try_emplace(key);
     if (isNew) {
-        position->second = findOwner(key, zone, now);
+        position->second =
+            findOwner(key, zone, [&](const peer &other) { return isAlive(other, now); });
     }
     return position->second;
 }
 
+template <typename predicate>
 const std::string &peer_roster::findOwner(std::uint64_t key, const std::string &zone,
-                                          monotonic_time now) const
+                                          predicate counts) const
 {
     const host_record *best = &m_self;
     bool bestIsLocal = m_self.zone == zone;
     std::uint64_t bestScore = rendezvousScore(key, m_self.name);
     for (const auto &[name, other] : m_peers) {
-        if (!isAlive(other, now) || other.isLeaving) {
+        if (!counts(other) || other.isLeaving) {
             continue;
         }
         const bool isLocal = other.entry.zone == zone;
@@ -302,6 +315,36 @@
     return ownerOf(key, zone, now) == m_self.name;
 }
 
+bool peer_roster::mayUseAllowance(const peer &other, monotonic_time now) const
+{
+    if (isAlive(other, now)) {
+        return true;
+    }
+    const bool wasHeard = other.lastHeardAt != monotonic_time{};
+    if (wasHeard) {
+        return now - other.lastHeardAt <= allowanceHandoverTime;
+    }
+    const bool isLocal = other.entry.zone == m_self.zone;
+    return other.isListed
+        && now - other.listedSince
+        <= std::max(allowanceHandoverTime, reportCycle(isLocal) * missedReportLimit);
+}
+
+bool peer_roster::ownsAllowance(std::uint64_t key, const std::string &zone,
+                                monotonic_time now) const
+{
+    if (now - m_resumedAt < allowanceHandoverTime) {
+        return false;
+    }
+    expireOwnerCaches(now);
+    const auto [position, isNew] = m_allowanceOwnerCache.try_emplace(key);
+    if (isNew) {
+        position->second =
+            findOwner(key, zone, [&](const peer &other) { return mayUseAllowance(other, now); });
+    }
+    return position->second == m_self.name;
+}
+
 unsigned peer_roster::rankOf(std::uint64_t key, monotonic_time now) const
 {
     const bool isRankedInZone = isLargeFleet();
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -708,6 +708,41 @@
     CHECK(core.loads().openRequests(index) == 0);
 }
 
+// Guards against a host that has just started or resumed and takes itself for the owner of cold
+// upstreams before it has heard from the others.
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: just started, or after a freeze: cold upstreams get no flows for a "
+                  "second")
+{
+    route_config limited = config(2);
+    limited.services.push_back(service_limits{"desk", 0, milliseconds(0), 4});
+    std::vector<record_change> records{configChange(limited, 50)};
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        records.push_back(upstreamChange(id, 50 + id));
+        std::get<upstream_record>(records.back().content).coldFor = milliseconds(20000);
+    }
+    recording_output sent;
+    entry_core host(hostSettings(), clock, 1, sent);
+    host.onListing(records, 100);
+    const auto sendFlows = [&](std::uint16_t firstPort, std::int64_t time) {
+        const std::uint64_t before = sent.counterValue(entry_counter::coldFlowsSent);
+        for (std::int64_t step = 0; step < time / 10; ++step) {
+            flow_packet packet = packetOf(static_cast<std::uint16_t>(firstPort + step));
+            packet.isSyn = true;
+            const std::vector<std::uint8_t> bytes{1};
+            host.onPacket(packet, bytes);
+            clock.advance(milliseconds(10));
+            host.tick();
+        }
+        return sent.counterValue(entry_counter::coldFlowsSent) - before;
+    };
+    CHECK(sendFlows(1000, 1000) == 0);
+    CHECK(sendFlows(2000, 1000) > 0);
+    host.onFreeze(milliseconds(600));
+    CHECK(sendFlows(3000, 1000) == 0);
+    CHECK(sendFlows(4000, 1000) > 0);
+}
+
 TEST_CASE_FIXTURE(settled_host,
                   "entry_core: the restored store has an entry of an earlier start: it is ignored, "
                   "and the upstream's open requests still count")
