Ignore records with the id of an upstream but another key

Cause: the directory knows upstreams by the number in the key, so the foreign record took the place of the upstream's own.

Change: a record carries the hash of its key.

Not tried with real processes.

--- a/include/figstair/core/fleet_records.h
+++ b/include/figstair/core/fleet_records.h
@@ -136,6 +136,9 @@
     record_kind kind = record_kind::config;
     std::string name; ///< of the zone or the host; empty for other kinds
     std::uint64_t upstreamId = 0; ///< for upstreams
+    /// Hash of the key of an upstream's record: ids are parsed from keys, and two keys may have the
+    /// same id. 0: not known.
+    std::uint64_t keyHash = 0;
     std::uint64_t revision = 0; ///< store revision of this change
     std::variant<removed, unreadable, route_config, upstream_record, zone_evacuation, host_record,
                  shared_key, config_patch, evacuation_mark>
--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/upstream_directory.h
@@ -25,6 +25,7 @@
     std::uint32_t tag = 0; ///< see upstreamTag()
     std::uint16_t zone = 0; ///< see upstream_directory::zoneNumber()
     std::uint64_t revision = 0;
+    std::uint64_t keyHash = 0; ///< of the record with the entry, see record_change
     bool isListed = false; ///< listed or lapsing
     /// Another known id had the same tag, so new flows would be ambiguous: none are placed. Stays
     /// set after the other id is forgotten.
@@ -61,7 +62,8 @@
     /// this directory learns of it. Initially 0.
     void setReturnColdTime(milliseconds time) { m_returnColdTime = time; }
 
-    /// Applies a change of the store's records; ignores one that is older than the known record.
+    /// Applies a change of the store's records; ignores one that is older than the known record,
+    /// and one of another record with the id of a listed upstream.
     void apply(const record_change &change, monotonic_time now);
 
     /// The store was restored from an older copy, and a listing of it follows. Forgets the
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -102,10 +102,13 @@
         found = m_byId.find(id);
     }
     known_upstream &upstream = m_upstreams[found->second];
-    if (change.revision < upstream.revision) {
+    const bool isOtherRecord =
+        upstream.keyHash != 0 && change.keyHash != 0 && change.keyHash != upstream.keyHash;
+    if (change.revision < upstream.revision || (isOtherRecord && upstream.isListed)) {
         return;
     }
     upstream.revision = change.revision;
+    upstream.keyHash = change.keyHash != 0 ? change.keyHash : upstream.keyHash;
     upstream.isLapsing = false;
     if (entry != nullptr && isOutdated(upstream, *entry, now)) {
         if (!upstream.isListed) {
@@ -243,21 +246,26 @@
 void upstream_directory::retain(boost::span<const record_change> listing, std::uint64_t revision,
                                 monotonic_time now)
 {
-    std::unordered_set<std::uint64_t> listedIds;
+    std::unordered_multimap<std::uint64_t, std::uint64_t> listedKeys; ///< key hashes by id
     std::unordered_set<std::string> evacuatedZones;
     std::unordered_set<std::string> markedZones;
     for (const record_change &change : listing) {
         if (const auto *entry = std::get_if<upstream_record>(&change.content)) {
-            listedIds.insert(entry->id);
+            listedKeys.emplace(entry->id, change.keyHash);
         } else if (change.kind == record_kind::evacuation) {
             evacuatedZones.insert(change.name);
         } else if (change.kind == record_kind::evacuationMark) {
             markedZones.insert(change.name);
         }
     }
+    const auto isInListing = [&](const known_upstream &upstream) {
+        const auto [first, last] = listedKeys.equal_range(upstream.entry.id);
+        return std::any_of(first, last, [&](const auto &item) {
+            return item.second == upstream.keyHash || item.second == 0 || upstream.keyHash == 0;
+        });
+    };
     for (known_upstream &upstream : m_upstreams) {
-        if (!upstream.isListed || upstream.revision > revision
-            || listedIds.count(upstream.entry.id) != 0) {
+        if (!upstream.isListed || upstream.revision > revision || isInListing(upstream)) {
             continue;
         }
         remove(upstream, now);
@@ -286,6 +294,7 @@
             record_change change;
             change.kind = record_kind::upstream;
             change.upstreamId = upstream.entry.id;
+            change.keyHash = upstream.keyHash;
             change.revision = upstream.revision;
             upstream_record entry = upstream.entry;
             entry.coldFor =
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -45,16 +45,17 @@
 std::vector<record_change> changesByListing(boost::span<const record_change> before,
                                             const store_records &listing, std::uint64_t after)
 {
-    using record_key = std::tuple<record_kind, std::string, std::uint64_t>;
-    const auto keyOf = [](const record_change &change) {
+    using record_key = std::tuple<record_kind, std::string, std::uint64_t, std::uint64_t>;
+    const auto keyOf = [](const record_change &change, std::uint64_t keyHash) {
         return change.kind == record_kind::upstream
-            ? record_key(change.kind, std::string(), change.upstreamId)
-            : record_key(change.kind, change.name, 0);
+            ? record_key(change.kind, std::string(), change.upstreamId, keyHash)
+            : record_key(change.kind, change.name, 0, 0);
     };
     std::set<record_key> listed;
     std::vector<record_change> changes;
     for (const record_change &change : listing.records) {
-        listed.insert(keyOf(change));
+        listed.insert(keyOf(change, change.keyHash));
+        listed.insert(keyOf(change, 0)); // for a view that does not know the key
         if (change.revision > after && change.revision <= listing.revision) {
             changes.push_back(change);
         }
@@ -62,7 +63,8 @@
     for (const record_change &known : before) {
         const bool mayBeRemoved =
             known.kind != record_kind::config && known.kind != record_kind::key;
-        if (mayBeRemoved && known.revision <= listing.revision && listed.count(keyOf(known)) == 0) {
+        if (mayBeRemoved && known.revision <= listing.revision
+            && listed.count(keyOf(known, known.keyHash)) == 0) {
             changes.push_back(known);
             changes.back().content = record_change::removed{};
         }
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -260,7 +260,7 @@
 {
     return json::array({static_cast<unsigned>(change.kind), change.name, change.upstreamId,
                         change.revision, change.content.index(),
-                        std::visit(content_writer{}, change.content)});
+                        std::visit(content_writer{}, change.content), change.keyHash});
 }
 
 record_change changeFrom(const json &value)
@@ -274,6 +274,7 @@
     change.name = value.at(1).get<std::string>();
     change.upstreamId = integerFrom<std::uint64_t>(value.at(2));
     change.revision = integerFrom<std::uint64_t>(value.at(3));
+    change.keyHash = value.size() > 6 ? integerFrom<std::uint64_t>(value.at(6)) : 0;
     const json &content = value.at(5);
     switch (integerFrom<std::size_t>(value.at(4))) {
     case 0:
--- a/tests/core/upstream_directory_test.cpp
+++ b/tests/core/upstream_directory_test.cpp
@@ -187,6 +187,79 @@
 
 namespace {
 
+/// The upstream of a record with the key hash 1, and records of another writer with its id.
+struct upstream_and_foreign_record : public one_upstream
+{
+    static record_change keyed(record_change change, std::uint64_t keyHash)
+    {
+        change.keyHash = keyHash;
+        return change;
+    }
+    upstream_and_foreign_record() { directory.apply(keyed(entry(11), 1), ms(1000)); }
+};
+
+} // namespace
+
+// Guards against a live upstream that gets no flows because another writer's record, under another
+// key, has the same id.
+TEST_CASE_FIXTURE(upstream_and_foreign_record,
+                  "upstream_directory: another record with the id of a listed upstream: ignored")
+{
+    record_change foreign = keyed(entry(12), 2);
+    SUBCASE("unreadable")
+    {
+        foreign.content = record_change::unreadable{"not an object"};
+    }
+    SUBCASE("draining")
+    {
+        foreign = keyed(entry(12, true), 2);
+    }
+    SUBCASE("removed")
+    {
+        foreign.content = record_change::removed{};
+    }
+    directory.apply(foreign, ms(1100));
+    CHECK(candidates() == 1);
+    CHECK(known().revision == 11);
+    SUBCASE("the own record is removed, the other is listed")
+    {
+        directory.retain(std::vector<record_change>{foreign}, 20, ms(1200));
+        CHECK(candidates() == 0);
+    }
+    SUBCASE("the own record changes")
+    {
+        directory.apply(keyed(entry(13, true), 1), ms(1200));
+        CHECK(candidates() == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(upstream_and_foreign_record,
+                  "upstream_directory: an upstream is gone, its id is listed under another key: "
+                  "used")
+{
+    directory.apply(keyed(removal(12), 1), ms(1100));
+    CHECK(candidates() == 0);
+    directory.apply(keyed(entry(13), 2), ms(1200));
+    CHECK(candidates() == 1);
+}
+
+TEST_CASE_FIXTURE(upstream_and_foreign_record,
+                  "upstream_directory: a snapshot: the receiver ignores other records too")
+{
+    std::vector<record_change> snapshot;
+    directory.appendSnapshot(ms(1100), snapshot);
+    upstream_directory receiver{milliseconds(60000)};
+    for (const record_change &change : snapshot) {
+        receiver.apply(change, ms(1100));
+    }
+    record_change foreign = keyed(entry(12), 2);
+    foreign.content = record_change::unreadable{"not an object"};
+    receiver.apply(foreign, ms(1200));
+    CHECK(receiver.candidates("desk", receiver.zoneNumber("north")).size() == 1);
+}
+
+namespace {
+
 /// An upstream of a zone whose evacuations are marked in the store.
 struct upstream_with_marks : public one_upstream
 {
--- a/tests/wire/entry_message_test.cpp
+++ b/tests/wire/entry_message_test.cpp
@@ -45,6 +45,7 @@
     upstream.startedAtMs = 1700000000000;
     upstream.sequence = 19;
     change.content = upstream;
+    change.keyHash = 0x123456789abcdef0;
     changes.records.push_back(change);
     change.content = record_change::unreadable{"broken"};
     changes.records.push_back(change);
@@ -104,6 +105,7 @@
     CHECK(config.services.at(0).coldRequestsPerSecond == doctest::Approx(1.5));
     CHECK(std::get<upstream_record>(result.records[1].content).startedAtMs == 1700000000000);
     CHECK(std::get<upstream_record>(result.records[1].content).sequence == 19);
+    CHECK(result.records[1].keyHash == changes.records[1].keyHash);
 }
 
 TEST_CASE("entry_message: epochs: read back as written, 0 from hosts that do not send them")
