Bound what an odd entry costs the hosts

Operators of similar systems saw hosts that stopped following the list of upstreams.

Cause: the reason of a refusal quoted the entry and was relayed whole. Hosts refuse messages above 48 KB, so they stayed behind and requested the change again and again. Names had no limit, and addresses to which nothing can be sent (port 0, unspecified, multicast, broadcast) were taken for upstreams.

Evidence: without the limits, the three new tests of record_format fail; a reason has 200,180 bytes where 160 are allowed.

Change: reasons are at most 160 bytes of printable ASCII, names at most 200 bytes, and an upstream's address is that of one host with a port.

Not tried with real processes.

--- a/include/figstair/core/endpoint.h
+++ b/include/figstair/core/endpoint.h
@@ -33,6 +33,9 @@
 /// Parses "1.2.3.4:80" or "[::1]:80". Returns nothing when the text is not of that form.
 std::optional<endpoint> parseEndpoint(std::string_view text);
 
+/// Whether packets can be sent to @p value: it has a port, and its address is that of one host.
+bool isUnicast(const endpoint &value);
+
 /// Formats @p value in the form that parseEndpoint() reads.
 std::string toString(const endpoint &value);
 
--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -43,6 +43,20 @@
     return result;
 }
 
+bool isUnicast(const endpoint &value)
+{
+    const ip::address_v6 v6Address(value.address);
+    if (value.port == 0 || v6Address.is_unspecified() || v6Address.is_multicast()) {
+        return false;
+    }
+    if (!v6Address.is_v4_mapped()) {
+        return true;
+    }
+    const ip::address_v4 v4Address = ip::make_address_v4(ip::v4_mapped, v6Address);
+    return !v4Address.is_unspecified() && !v4Address.is_multicast()
+        && v4Address != ip::address_v4::broadcast();
+}
+
 std::string toString(const endpoint &value)
 {
     const ip::address_v6 v6Address(value.address);
--- a/tests/platform/record_format_test.cpp
+++ b/tests/platform/record_format_test.cpp
@@ -1,9 +1,12 @@
 #include "platform/record_format.h"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
 #include "figstair/store/base64.h"
+#include "figstair/wire/entry_message.h"
 
 using namespace figstair;
 using nlohmann::json;
@@ -86,8 +89,51 @@
         decoded("servers/i-1", std::string("\xff\x00{", 3)).content));
 }
 
+// Guards against an entry of another writer whose content is quoted in a reason that is too large
+// for a message between hosts, which then lack all changes that follow.
+TEST_CASE("record_format: an unreadable entry: the reason is short plain text, whatever the entry")
+{
+    constexpr std::size_t maxMessagePart = 1024;
+    const std::string longNumber = "{\"concurrency\":" + std::string(200'000, '9');
+    const std::string deep = std::string(300'000, '[');
+    const std::string control = "{\"state\":\"\n\x1b[2J\xff\xfe";
+    for (const std::string &text : {longNumber + "}", longNumber + "e", deep, control}) {
+        const record_change change = decoded("servers/i-1", text);
+        const auto &problem = std::get<record_change::unreadable>(change.content).problem;
+        CHECK_FALSE(problem.empty());
+        CHECK(problem.size() <= 160);
+        CHECK(std::all_of(problem.begin(), problem.end(),
+                          [](char character) { return character >= ' ' && character <= '~'; }));
+        const view_changes changes{1, 5, {}, {}, {change}};
+        CHECK(encodeEntryMessage(peer_key{}, changes).size() <= maxMessagePart);
+    }
+}
+
+TEST_CASE("record_format: an entry with names longer than any key: is unreadable")
+{
+    for (const char *field : {"service", "zone"}) {
+        json entry = validUpstream();
+        entry[field] = std::string(200, 'z');
+        CHECK(isReadable(entry));
+        entry[field] = std::string(201, 'z');
+        CHECK_FALSE(isReadable(entry));
+    }
+}
+
+TEST_CASE("record_format: an address that no packet can be sent to: the entry is unreadable")
+{
+    for (const char *address : {"10.0.0.9:0", "0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80",
+                                "[::]:80", "[ff02::1]:80", "10.0.0.9:65536", "10.0.0.9:-1"}) {
+        CAPTURE(address);
+        json entry = validUpstream();
+        entry["address"] = address;
+        CHECK_FALSE(isReadable(entry));
+    }
+}
+
 TEST_CASE("record_format: keys that figstair does not use: are ignored")
 {
+    CHECK_FALSE(platform::decodeItem(item("servers/old/i-1", "{}")).has_value());
     CHECK_FALSE(platform::decodeItem(item("status/x", "1")).has_value());
     CHECK_FALSE(platform::decodeItem(item("servers/not hex!", "{}")).has_value());
     CHECK_FALSE(platform::decodeItem(item("op/other", "{}")).has_value());
