--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/peer_roster.h
@@ -71,7 +71,7 @@
 
     /// Whether this host is the one that may send flows to the cold upstream with the id @p key in
     /// @p zone. Stricter than owns(): hosts that were heard or first listed a short while ago count
-    /// as alive, and a host that has just started or resumed sends none for a second. Hosts that
+    /// as alive, and a host that has just started or resumed sends none for 1.1 s. Hosts that
     /// succeed each other as owners are thus at least a second apart, in which the flows of the
     /// first do not count any more.
     bool ownsAllowance(std::uint64_t key, const std::string &zone, monotonic_time now) const;
