Follow the owner's ejections at a host that has just started

Cause: in a small fleet, an ejection by the upstream's owner was only a suspicion at other hosts, and none at all within 150 ms of an answer. A host that had started a moment before knew nothing but the first answers of the upstream that had just come back, and sent it its full share until the entry with the cold time arrived.

Evidence: the new tests fail before the change: "no history of the upstream here" keeps the upstream eligible (1 instead of 3), and so does an owned one with first answers.

Change: until an upstream has answered through this host for 1.5 s, the time after which its entry would state a cold restart, an ejection reported by the owner, or by any host if this one is the owner, applies here in small fleets too. Hosts with a history judge as before, and nothing changes in large fleets.

--- a/include/figstair/core/upstream_health.h
+++ b/include/figstair/core/upstream_health.h
@@ -53,6 +53,14 @@
     /// shortly after an answer.
     void onEjectedByOwner(upstream_index upstream, monotonic_time now);
 
+    /// Whether the upstream first answered through this host so long ago that its entry would say
+    /// if it had come back cold just before. Without that, its answers here may be those of an
+    /// upstream that the other hosts ejected for good reason.
+    bool hasLocalHistory(upstream_index upstream, monotonic_time now) const;
+
+    /// Takes over an ejection by another host, whatever the upstream answered here.
+    void adoptEjection(upstream_index upstream, monotonic_time now);
+
     /// The host that owns the trials of the upstream does not eject it. Ignored shortly after a
     /// change of state here, of which the owner may not know yet.
     void onClearedByOwner(upstream_index upstream, monotonic_time now);
@@ -97,6 +105,7 @@
         monotonic_time stateSince{};
         monotonic_time lastAnswerAt{};
         monotonic_time lastLocalAnswerAt{};
+        monotonic_time firstLocalAnswerAt{};
         monotonic_time lastTimeoutAt{};
         monotonic_time nextTrialAt{};
         milliseconds backoff{0};
--- a/src/core/report_exchange.cpp
+++ b/src/core/report_exchange.cpp
@@ -215,21 +215,26 @@
 
 /// In a large fleet, an ejection by the owner of an upstream's trials applies here until the owner
 /// clears it. Otherwise each host would lose flows at each upstream of a lost zone before it ejects
-/// them.
+/// them. In a small fleet the same holds at a host without a history of the upstream: it has just
+/// started, and would send its full share to one that came back cold after the others ejected it.
 void report_exchange::applyEjection(upstream_index upstream, const std::string &sender,
                                     monotonic_time now)
 {
     const upstream_record &entry = m_directory.at(upstream).entry;
     const std::string &owner = m_roster.ownerOf(entry.id, entry.zone, now);
-    if (owner == m_roster.self().name) {
-        const bool wasEjected = m_health.isEjected(upstream);
+    const bool isOwn = owner == m_roster.self().name;
+    const bool wasEjected = m_health.isEjected(upstream);
+    if ((isOwn || owner == sender) && !m_roster.isLargeFleet()
+        && !m_health.hasLocalHistory(upstream, now)) {
+        m_health.adoptEjection(upstream, now);
+    } else if (isOwn) {
         m_health.onEjectedByPeer(upstream, true, now);
-        m_hasNews = m_hasNews || (!wasEjected && m_health.isEjected(upstream));
     } else if (owner == sender && m_roster.isLargeFleet()) {
         m_health.onEjectedByOwner(upstream, now);
     } else {
         m_health.onEjectedByPeer(upstream, false, now);
     }
+    m_hasNews = m_hasNews || (isOwn && !wasEjected && m_health.isEjected(upstream));
 }
 
 /// Clears upstreams that are ejected here but not in the report of the owner of their trials.
--- a/src/core/upstream_health.cpp
+++ b/src/core/upstream_health.cpp
@@ -89,6 +89,9 @@
     record &item = at(upstream);
     item.lastAnswerAt = now;
     item.lastLocalAnswerAt = now;
+    if (item.firstLocalAnswerAt == monotonic_time{}) {
+        item.firstLocalAnswerAt = now;
+    }
     if (!item.isGood) {
         expireState(item, now);
         fire(item, "answered", now);
@@ -171,6 +174,19 @@
     }
 }
 
+bool upstream_health::hasLocalHistory(upstream_index upstream, monotonic_time now) const
+{
+    return upstream < m_records.size() && m_records[upstream].firstLocalAnswerAt != monotonic_time{}
+    && now - m_records[upstream].firstLocalAnswerAt >= probationTime;
+}
+
+void upstream_health::adoptEjection(upstream_index upstream, monotonic_time now)
+{
+    record &item = at(upstream);
+    expireState(item, now);
+    fire(item, "ejectedByOwner", now);
+}
+
 monotonic_time upstream_health::stateSince(upstream_index upstream) const
 {
     return upstream < m_records.size() ? m_records[upstream].stateSince : monotonic_time{};
--- a/tests/core/report_exchange_test.cpp
+++ b/tests/core/report_exchange_test.cpp
@@ -204,6 +204,51 @@
     CHECK_FALSE(health.isEjected(indexOf(id)));
 }
 
+// Guards against the full load on an upstream that came back cold after all other hosts ejected it:
+// a host that had just started knew only the upstream's answers.
+TEST_CASE_FIXTURE(small_fleet,
+                  "report_exchange: an ejection by the owner in a small fleet, no history of the "
+                  "upstream here: applies until the owner omits it")
+{
+    const std::uint64_t id = ownedBy("h2").front();
+    SUBCASE("no answer yet") { }
+    SUBCASE("first answers a moment ago")
+    {
+        health.onAnswered(indexOf(id), now);
+        now += milliseconds(100);
+        health.onAnswered(indexOf(id), now);
+    }
+    receiveReport(2, {load_row{upstreamTag(id), 0, 0, true}});
+    CHECK(health.eligibilityOf(indexOf(id), now) == placement_eligibility::none);
+    now += milliseconds(600);
+    receiveReport(2, {});
+    CHECK(health.eligibilityOf(indexOf(id), now) == placement_eligibility::unrestricted);
+}
+
+// Guards against the same at a host that has become the owner by its start.
+TEST_CASE_FIXTURE(
+    small_fleet,
+    "report_exchange: another host reports an ejection of an owned upstream without a "
+    "history here: ejected despite its first answers")
+{
+    const std::uint64_t id = ownedBy("h1").front();
+    health.onAnswered(indexOf(id), now);
+    receiveReport(2, {load_row{upstreamTag(id), 0, 0, true}});
+    CHECK(health.isEjected(indexOf(id)));
+}
+
+// Guards against one owner that is cut off from an upstream taking it from all other hosts.
+TEST_CASE_FIXTURE(small_fleet,
+                  "report_exchange: an ejection by the owner in a small fleet, a history of the "
+                  "upstream here: only suspected")
+{
+    const std::uint64_t id = ownedBy("h2").front();
+    health.onAnswered(indexOf(id), now);
+    now += milliseconds(2000);
+    receiveReport(2, {load_row{upstreamTag(id), 0, 0, true}});
+    CHECK(health.eligibilityOf(indexOf(id), now) == placement_eligibility::lastResort);
+}
+
 // Guards against the full load on an upstream that restarted cold: its owner, which had the new
 // entry, no longer reported it as ejected, and hosts without the entry took that for a recovery.
 TEST_CASE_FIXTURE(large_fleet,
