Sort the files of src/core into folders by subject

Moves only: view (what the store and other hosts say), load, health, flow (the packet path) and gate (the product's own interface). What both interfaces use stays in src/core.

--- a/bench/benchmark_scene.h
+++ b/bench/benchmark_scene.h
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/flow_token.h"
-#include "figstair/core/host_output.h"
-#include "figstair/core/membership.h"
+#include "figstair/core/gate/flow_token.h"
+#include "figstair/core/gate/host_output.h"
+#include "figstair/core/gate/membership.h"
 #include "figstair/table/table.h"
 
 namespace bench {
--- a/bench/compare_rules.cpp
+++ b/bench/compare_rules.cpp
@@ -19,8 +19,8 @@
 #include <boost/random/uniform_real_distribution.hpp>
 
 #include "benchmark_scene.h"
-#include "figstair/core/order_ledger.h"
-#include "figstair/core/upstream_gate.h"
+#include "figstair/core/gate/order_ledger.h"
+#include "figstair/core/gate/upstream_gate.h"
 #include "figstair/replay/timeline.h"
 
 using namespace bench;
--- a/bench/entry_bench.cpp
+++ b/bench/entry_bench.cpp
@@ -6,7 +6,7 @@
 #include <benchmark/benchmark.h>
 
 #include "entry/entry_doubles.h"
-#include "figstair/core/entry_core.h"
+#include "figstair/core/flow/entry_core.h"
 #include "platform/packet_format.h"
 
 using namespace figstair;
--- a/bench/entry_footprint.cpp
+++ b/bench/entry_footprint.cpp
@@ -7,7 +7,7 @@
 #include <malloc.h>
 
 #include "entry/entry_doubles.h"
-#include "figstair/core/entry_core.h"
+#include "figstair/core/flow/entry_core.h"
 #include "figstair/wire/entry_message.h"
 
 using namespace figstair;
--- a/bench/footprint.cpp
+++ b/bench/footprint.cpp
@@ -5,9 +5,9 @@
 #include <memory>
 
 #include "benchmark_scene.h"
-#include "figstair/core/gate_map.h"
-#include "figstair/core/order_ledger.h"
-#include "figstair/core/upstream_gate.h"
+#include "figstair/core/gate/gate_map.h"
+#include "figstair/core/gate/order_ledger.h"
+#include "figstair/core/gate/upstream_gate.h"
 #include "figstair/peer/peer_message.h"
 #include "figstair/wire/gossip_codec.h"
 
--- a/bench/hot_paths_bench.cpp
+++ b/bench/hot_paths_bench.cpp
@@ -4,10 +4,10 @@
 #include <boost/leaf.hpp>
 
 #include "benchmark_scene.h"
-#include "figstair/core/gate_map.h"
-#include "figstair/core/order_ledger.h"
-#include "figstair/core/placement.h"
-#include "figstair/core/upstream_gate.h"
+#include "figstair/core/gate/gate_map.h"
+#include "figstair/core/gate/order_ledger.h"
+#include "figstair/core/gate/placement.h"
+#include "figstair/core/gate/upstream_gate.h"
 #include "figstair/table/edit.h"
 #include "figstair/wire/gossip_codec.h"
 
--- a/include/figstair/core/entry_core.h
+++ b/include/figstair/core/flow/entry_core.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "figstair/core/flow_context.h"
-#include "figstair/core/flow_opener.h"
-#include "figstair/core/silence_watch.h"
+#include "figstair/core/flow/flow_context.h"
+#include "figstair/core/flow/flow_opener.h"
+#include "figstair/core/health/silence_watch.h"
 
 namespace figstair {
 
--- a/include/figstair/core/entry_output.h
+++ b/include/figstair/core/flow/entry_output.h
@@ -3,9 +3,9 @@
 #include <cstdint>
 #include <string_view>
 
-#include "figstair/core/flow_packet.h"
-#include "figstair/core/host_output.h"
-#include "figstair/core/upstream_directory.h"
+#include "figstair/core/flow/flow_packet.h"
+#include "figstair/core/gate/host_output.h"
+#include "figstair/core/view/upstream_directory.h"
 
 namespace figstair {
 
--- a/include/figstair/core/entry_settings.h
+++ b/include/figstair/core/flow/entry_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "figstair/core/fleet_records.h"
+#include "figstair/core/view/fleet_records.h"
 
 namespace figstair {
 
--- a/include/figstair/core/flow_context.h
+++ b/include/figstair/core/flow/flow_context.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "figstair/core/entry_output.h"
-#include "figstair/core/entry_settings.h"
-#include "figstair/core/flow_table.h"
-#include "figstair/core/load_board.h"
-#include "figstair/core/peer_roster.h"
-#include "figstair/core/report_exchange.h"
-#include "figstair/core/route_table.h"
-#include "figstair/core/service_times.h"
-#include "figstair/core/upstream_directory.h"
-#include "figstair/core/upstream_health.h"
+#include "figstair/core/flow/entry_output.h"
+#include "figstair/core/flow/entry_settings.h"
+#include "figstair/core/flow/flow_table.h"
+#include "figstair/core/health/upstream_health.h"
+#include "figstair/core/load/load_board.h"
+#include "figstair/core/load/service_times.h"
+#include "figstair/core/view/peer_roster.h"
+#include "figstair/core/view/report_exchange.h"
+#include "figstair/core/view/route_table.h"
+#include "figstair/core/view/upstream_directory.h"
 
 namespace figstair {
 
--- a/include/figstair/core/flow_opener.h
+++ b/include/figstair/core/flow/flow_opener.h
@@ -4,13 +4,13 @@
 #include <string>
 #include <unordered_map>
 
-#include "figstair/core/caller_shares.h"
-#include "figstair/core/flow_admission.h"
-#include "figstair/core/flow_context.h"
-#include "figstair/core/flow_placer.h"
-#include "figstair/core/flow_refuser.h"
-#include "figstair/core/held_flows.h"
-#include "figstair/core/silence_watch.h"
+#include "figstair/core/flow/flow_context.h"
+#include "figstair/core/flow/flow_placer.h"
+#include "figstair/core/flow/flow_refuser.h"
+#include "figstair/core/flow/held_flows.h"
+#include "figstair/core/health/silence_watch.h"
+#include "figstair/core/load/caller_shares.h"
+#include "figstair/core/load/flow_admission.h"
 
 namespace figstair {
 
--- a/include/figstair/core/flow_placer.h
+++ b/include/figstair/core/flow/flow_placer.h
@@ -5,11 +5,11 @@
 #include <string>
 #include <unordered_map>
 
-#include "figstair/core/load_board.h"
-#include "figstair/core/peer_roster.h"
-#include "figstair/core/slot_shares.h"
-#include "figstair/core/upstream_directory.h"
-#include "figstair/core/upstream_health.h"
+#include "figstair/core/health/upstream_health.h"
+#include "figstair/core/load/load_board.h"
+#include "figstair/core/load/slot_shares.h"
+#include "figstair/core/view/peer_roster.h"
+#include "figstair/core/view/upstream_directory.h"
 
 namespace figstair {
 
--- a/include/figstair/core/flow_refuser.h
+++ b/include/figstair/core/flow/flow_refuser.h
@@ -3,8 +3,8 @@
 #include <string>
 #include <string_view>
 
-#include "figstair/core/flow_admission.h"
-#include "figstair/core/flow_context.h"
+#include "figstair/core/flow/flow_context.h"
+#include "figstair/core/load/flow_admission.h"
 
 namespace figstair {
 
--- a/include/figstair/core/flow_table.h
+++ b/include/figstair/core/flow/flow_table.h
@@ -6,8 +6,8 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
-#include "figstair/core/flow_packet.h"
-#include "figstair/core/upstream_directory.h"
+#include "figstair/core/flow/flow_packet.h"
+#include "figstair/core/view/upstream_directory.h"
 
 namespace figstair {
 
--- a/include/figstair/core/held_flows.h
+++ b/include/figstair/core/flow/held_flows.h
@@ -10,7 +10,7 @@
 
 #include "figstair/core/clock_source.h"
 #include "figstair/core/fair_queue.h"
-#include "figstair/core/flow_packet.h"
+#include "figstair/core/flow/flow_packet.h"
 
 namespace figstair {
 
--- a/include/figstair/core/gate_map.h
+++ b/include/figstair/core/gate/gate_map.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "figstair/core/membership.h"
+#include "figstair/core/gate/membership.h"
 #include "figstair/table/table.h"
 
 namespace figstair {
--- a/include/figstair/core/gate_role.h
+++ b/include/figstair/core/gate/gate_role.h
@@ -8,11 +8,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "figstair/core/candidate_list.h"
-#include "figstair/core/host_context.h"
-#include "figstair/core/order_ledger.h"
-#include "figstair/core/retry_budget.h"
-#include "figstair/core/upstream_gate.h"
+#include "figstair/core/gate/candidate_list.h"
+#include "figstair/core/gate/host_context.h"
+#include "figstair/core/gate/order_ledger.h"
+#include "figstair/core/gate/retry_budget.h"
+#include "figstair/core/gate/upstream_gate.h"
 
 namespace figstair {
 
--- a/include/figstair/core/host_context.h
+++ b/include/figstair/core/gate/host_context.h
@@ -3,11 +3,11 @@
 #include <random>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/flow_token.h"
-#include "figstair/core/gate_map.h"
-#include "figstair/core/host_output.h"
-#include "figstair/core/host_settings.h"
-#include "figstair/core/membership.h"
+#include "figstair/core/gate/flow_token.h"
+#include "figstair/core/gate/gate_map.h"
+#include "figstair/core/gate/host_output.h"
+#include "figstair/core/gate/host_settings.h"
+#include "figstair/core/gate/membership.h"
 #include "figstair/table/table.h"
 #include "figstair/wire/datagram.h"
 
--- a/include/figstair/core/host_core.h
+++ b/include/figstair/core/gate/host_core.h
@@ -5,11 +5,11 @@
 #include <memory>
 #include <random>
 
-#include "figstair/core/gate_role.h"
-#include "figstair/core/host_context.h"
-#include "figstair/core/receiver.h"
+#include "figstair/core/gate/gate_role.h"
+#include "figstair/core/gate/host_context.h"
+#include "figstair/core/gate/receiver.h"
+#include "figstair/core/gate/table_keeper.h"
 #include "figstair/core/state_chart.h"
-#include "figstair/core/table_keeper.h"
 #include "figstair/wire/gossip_codec.h"
 
 namespace figstair {
--- a/include/figstair/core/host_output.h
+++ b/include/figstair/core/gate/host_output.h
@@ -7,8 +7,8 @@
 #include <utility>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/member.h"
-#include "figstair/core/order_ledger.h"
+#include "figstair/core/gate/member.h"
+#include "figstair/core/gate/order_ledger.h"
 #include "figstair/wire/datagram.h"
 
 namespace figstair {
--- a/include/figstair/core/host_settings.h
+++ b/include/figstair/core/gate/host_settings.h
@@ -2,9 +2,9 @@
 
 #include <vector>
 
-#include "figstair/core/member.h"
-#include "figstair/core/membership.h"
-#include "figstair/core/upstream_gate.h"
+#include "figstair/core/gate/member.h"
+#include "figstair/core/gate/membership.h"
+#include "figstair/core/gate/upstream_gate.h"
 #include "figstair/wire/datagram.h"
 
 namespace figstair {
--- a/include/figstair/core/membership.h
+++ b/include/figstair/core/gate/membership.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/member.h"
+#include "figstair/core/gate/member.h"
 #include "figstair/wire/datagram.h"
 
 namespace figstair {
--- a/include/figstair/core/placement.h
+++ b/include/figstair/core/gate/placement.h
@@ -3,8 +3,8 @@
 #include <cstddef>
 #include <random>
 
-#include "figstair/core/candidate_list.h"
-#include "figstair/core/membership.h"
+#include "figstair/core/gate/candidate_list.h"
+#include "figstair/core/gate/membership.h"
 #include "figstair/table/table.h"
 
 namespace figstair {
--- a/include/figstair/core/receiver.h
+++ b/include/figstair/core/gate/receiver.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "figstair/core/gate_role.h"
-#include "figstair/core/host_context.h"
-#include "figstair/core/placement.h"
+#include "figstair/core/gate/gate_role.h"
+#include "figstair/core/gate/host_context.h"
+#include "figstair/core/gate/placement.h"
 
 namespace figstair {
 
--- a/include/figstair/core/upstream_gate.h
+++ b/include/figstair/core/gate/upstream_gate.h
@@ -9,11 +9,11 @@
 
 #include "figstair/core/clock_source.h"
 #include "figstair/core/fair_queue.h"
-#include "figstair/core/host_output.h"
-#include "figstair/core/order_ledger.h"
-#include "figstair/core/retry_budget.h"
+#include "figstair/core/gate/host_output.h"
+#include "figstair/core/gate/order_ledger.h"
+#include "figstair/core/gate/retry_budget.h"
+#include "figstair/core/gate/warm_up.h"
 #include "figstair/core/state_chart.h"
-#include "figstair/core/warm_up.h"
 #include "figstair/table/table.h"
 #include "figstair/wire/datagram.h"
 
--- a/include/figstair/core/silence_watch.h
+++ b/include/figstair/core/health/silence_watch.h
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <vector>
 
-#include "figstair/core/flow_context.h"
+#include "figstair/core/flow/flow_context.h"
 
 namespace figstair {
 
--- a/include/figstair/core/upstream_health.h
+++ b/include/figstair/core/health/upstream_health.h
@@ -4,7 +4,7 @@
 
 #include "figstair/core/clock_source.h"
 #include "figstair/core/state_chart.h"
-#include "figstair/core/upstream_directory.h"
+#include "figstair/core/view/upstream_directory.h"
 
 namespace figstair {
 
--- a/include/figstair/core/caller_shares.h
+++ b/include/figstair/core/load/caller_shares.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <unordered_map>
 
-#include "figstair/core/event_rate.h"
+#include "figstair/core/load/event_rate.h"
 
 namespace figstair {
 
--- a/include/figstair/core/flow_admission.h
+++ b/include/figstair/core/load/flow_admission.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/event_rate.h"
+#include "figstair/core/load/event_rate.h"
 
 namespace figstair {
 
--- a/include/figstair/core/load_board.h
+++ b/include/figstair/core/load/load_board.h
@@ -8,7 +8,7 @@
 #include <boost/core/span.hpp>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/upstream_directory.h"
+#include "figstair/core/view/upstream_directory.h"
 
 namespace figstair {
 
--- a/include/figstair/core/service_times.h
+++ b/include/figstair/core/load/service_times.h
@@ -5,7 +5,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/flow_packet.h"
+#include "figstair/core/flow/flow_packet.h"
 
 namespace figstair {
 
--- a/include/figstair/core/slot_shares.h
+++ b/include/figstair/core/load/slot_shares.h
@@ -5,10 +5,10 @@
 #include <utility>
 #include <vector>
 
-#include "figstair/core/event_rate.h"
-#include "figstair/core/peer_roster.h"
-#include "figstair/core/upstream_directory.h"
-#include "figstair/core/upstream_health.h"
+#include "figstair/core/health/upstream_health.h"
+#include "figstair/core/load/event_rate.h"
+#include "figstair/core/view/peer_roster.h"
+#include "figstair/core/view/upstream_directory.h"
 
 namespace figstair {
 
--- a/include/figstair/core/peer_roster.h
+++ b/include/figstair/core/view/peer_roster.h
@@ -5,7 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "figstair/core/fleet_records.h"
+#include "figstair/core/view/fleet_records.h"
 
 namespace figstair {
 
--- a/include/figstair/core/report_exchange.h
+++ b/include/figstair/core/view/report_exchange.h
@@ -4,10 +4,10 @@
 #include <optional>
 #include <vector>
 
-#include "figstair/core/load_board.h"
-#include "figstair/core/peer_roster.h"
-#include "figstair/core/store_position.h"
-#include "figstair/core/upstream_health.h"
+#include "figstair/core/health/upstream_health.h"
+#include "figstair/core/load/load_board.h"
+#include "figstair/core/view/peer_roster.h"
+#include "figstair/core/view/store_position.h"
 #include "figstair/wire/entry_message.h"
 
 namespace figstair {
--- a/include/figstair/core/route_table.h
+++ b/include/figstair/core/view/route_table.h
@@ -4,8 +4,8 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
-#include "figstair/core/fleet_records.h"
-#include "figstair/core/flow_packet.h"
+#include "figstair/core/flow/flow_packet.h"
+#include "figstair/core/view/fleet_records.h"
 
 namespace figstair {
 
--- a/include/figstair/core/upstream_directory.h
+++ b/include/figstair/core/view/upstream_directory.h
@@ -10,7 +10,7 @@
 #include <boost/core/span.hpp>
 #include <boost/unordered/unordered_flat_map.hpp>
 
-#include "figstair/core/fleet_records.h"
+#include "figstair/core/view/fleet_records.h"
 
 namespace figstair {
 
--- a/include/figstair/core/view_feed.h
+++ b/include/figstair/core/view/view_feed.h
@@ -4,7 +4,7 @@
 #include <random>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/store_position.h"
+#include "figstair/core/view/store_position.h"
 
 namespace figstair {
 
--- a/include/figstair/host/entry_process_settings.h
+++ b/include/figstair/host/entry_process_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "figstair/core/entry_settings.h"
+#include "figstair/core/flow/entry_settings.h"
 #include "figstair/host/ini_settings.h"
 
 namespace figstair {
--- a/include/figstair/host/event_log.h
+++ b/include/figstair/host/event_log.h
@@ -6,7 +6,7 @@
 #include <string_view>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/host_output.h"
+#include "figstair/core/gate/host_output.h"
 #include "figstair/host/line_output.h"
 
 namespace figstair {
--- a/include/figstair/host/metrics.h
+++ b/include/figstair/host/metrics.h
@@ -11,8 +11,8 @@
 #include <boost/histogram/histogram.hpp>
 #include <boost/histogram/make_histogram.hpp>
 
-#include "figstair/core/entry_output.h"
-#include "figstair/core/host_output.h"
+#include "figstair/core/flow/entry_output.h"
+#include "figstair/core/gate/host_output.h"
 
 namespace figstair {
 
--- a/include/figstair/host/platform_adapter.h
+++ b/include/figstair/host/platform_adapter.h
@@ -6,8 +6,8 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "figstair/core/flow_packet.h"
-#include "figstair/core/upstream_directory.h"
+#include "figstair/core/flow/flow_packet.h"
+#include "figstair/core/view/upstream_directory.h"
 #include "figstair/store/fleet_store.h"
 #include "figstair/wire/datagram.h"
 
--- a/include/figstair/host/platform_watcher.h
+++ b/include/figstair/host/platform_watcher.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-#include "figstair/core/table_keeper.h"
+#include "figstair/core/gate/table_keeper.h"
 #include "figstair/store/key_value_store.h"
 
 namespace figstair {
--- a/include/figstair/host/process_settings.h
+++ b/include/figstair/host/process_settings.h
@@ -5,7 +5,7 @@
 
 #include <boost/leaf/result.hpp>
 
-#include "figstair/core/host_settings.h"
+#include "figstair/core/gate/host_settings.h"
 #include "figstair/host/ini_settings.h"
 
 namespace figstair {
--- a/include/figstair/host/span_log.h
+++ b/include/figstair/host/span_log.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "figstair/core/host_output.h"
+#include "figstair/core/gate/host_output.h"
 
 namespace figstair {
 
--- a/include/figstair/host/status_pages.h
+++ b/include/figstair/host/status_pages.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "figstair/core/host_core.h"
+#include "figstair/core/gate/host_core.h"
 #include "figstair/host/metrics.h"
 #include "figstair/host/span_log.h"
 #include "figstair/host/status_server.h"
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -8,8 +8,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "figstair/core/entry_core.h"
-#include "figstair/core/view_feed.h"
+#include "figstair/core/flow/entry_core.h"
+#include "figstair/core/view/view_feed.h"
 #include "figstair/store/fleet_store.h"
 #include "figstair/wire/entry_message.h"
 
--- a/include/figstair/peer/peer_message.h
+++ b/include/figstair/peer/peer_message.h
@@ -7,9 +7,9 @@
 
 #include <boost/leaf/result.hpp>
 
-#include "figstair/core/host_output.h"
-#include "figstair/core/member.h"
-#include "figstair/core/table_keeper.h"
+#include "figstair/core/gate/host_output.h"
+#include "figstair/core/gate/member.h"
+#include "figstair/core/gate/table_keeper.h"
 #include "figstair/wire/datagram.h"
 
 namespace figstair {
--- a/include/figstair/replay/replay_caller.h
+++ b/include/figstair/replay/replay_caller.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "figstair/core/answer_assembly.h"
+#include "figstair/core/gate/answer_assembly.h"
 #include "figstair/replay/replay_network.h"
 
 namespace figstair {
--- a/include/figstair/replay/replay_host.h
+++ b/include/figstair/replay/replay_host.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "figstair/core/host_core.h"
+#include "figstair/core/gate/host_core.h"
 #include "figstair/peer/peer_message.h"
 #include "figstair/replay/replay_network.h"
 
--- a/include/figstair/replay/replay_platform.h
+++ b/include/figstair/replay/replay_platform.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "figstair/core/clock_source.h"
-#include "figstair/core/flow_token.h"
+#include "figstair/core/gate/flow_token.h"
 #include "figstair/table/change_planner.h"
 #include "figstair/table/table.h"
 
--- a/include/figstair/store/fleet_store.h
+++ b/include/figstair/store/fleet_store.h
@@ -6,7 +6,7 @@
 #include <variant>
 #include <vector>
 
-#include "figstair/core/fleet_records.h"
+#include "figstair/core/view/fleet_records.h"
 
 namespace figstair {
 
--- a/include/figstair/store/table_store.h
+++ b/include/figstair/store/table_store.h
@@ -7,7 +7,7 @@
 
 #include <boost/leaf/result.hpp>
 
-#include "figstair/core/table_keeper.h"
+#include "figstair/core/gate/table_keeper.h"
 #include "figstair/store/key_value_store.h"
 #include "figstair/table/edit.h"
 #include "figstair/table/table.h"
--- a/include/figstair/wire/entry_message.h
+++ b/include/figstair/wire/entry_message.h
@@ -7,8 +7,8 @@
 
 #include <boost/leaf/result.hpp>
 
-#include "figstair/core/fleet_records.h"
-#include "figstair/core/load_board.h"
+#include "figstair/core/load/load_board.h"
+#include "figstair/core/view/fleet_records.h"
 #include "figstair/wire/datagram.h"
 
 namespace figstair {
--- a/include/figstair/wire/gossip_codec.h
+++ b/include/figstair/wire/gossip_codec.h
@@ -4,7 +4,7 @@
 
 #include <boost/leaf/result.hpp>
 
-#include "figstair/core/member.h"
+#include "figstair/core/gate/member.h"
 #include "figstair/wire/datagram.h"
 
 namespace figstair {
--- a/src/cli/table_command.cpp
+++ b/src/cli/table_command.cpp
@@ -9,7 +9,7 @@
 
 #include "command_options.h"
 #include "figstair/cli/commands.h"
-#include "figstair/core/flow_token.h"
+#include "figstair/core/gate/flow_token.h"
 #include "figstair/host/process_settings.h"
 #include "figstair/host/system_clock_source.h"
 #include "figstair/store/etcd_gateway_store.h"
--- a/src/core/entry_output.cpp
+++ b/src/core/flow/entry_output.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/entry_output.h"
+#include "figstair/core/flow/entry_output.h"
 
 #include <array>
 
--- a/src/core/flow_context.cpp
+++ b/src/core/flow/flow_context.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/flow_context.h"
+#include "figstair/core/flow/flow_context.h"
 
 #include <algorithm>
 
--- a/src/core/flow_opener.cpp
+++ b/src/core/flow/flow_opener.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/flow_opener.h"
+#include "figstair/core/flow/flow_opener.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/flow_packet.cpp
+++ b/src/core/flow/flow_packet.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/flow_packet.h"
+#include "figstair/core/flow/flow_packet.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <xxhash.h>
--- a/src/core/flow_refuser.cpp
+++ b/src/core/flow/flow_refuser.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/flow_refuser.h"
+#include "figstair/core/flow/flow_refuser.h"
 
 #include <algorithm>
 #include <array>
--- a/src/core/flow_table.cpp
+++ b/src/core/flow/flow_table.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/flow_table.h"
+#include "figstair/core/flow/flow_table.h"
 
 namespace figstair {
 namespace {
--- a/src/core/held_flows.cpp
+++ b/src/core/flow/held_flows.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/held_flows.h"
+#include "figstair/core/flow/held_flows.h"
 
 namespace figstair {
 
--- a/src/core/answer_assembly.cpp
+++ b/src/core/gate/answer_assembly.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/answer_assembly.h"
+#include "figstair/core/gate/answer_assembly.h"
 
 #include <algorithm>
 
--- a/src/core/candidate_list.cpp
+++ b/src/core/gate/candidate_list.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/candidate_list.h"
+#include "figstair/core/gate/candidate_list.h"
 
 #include <algorithm>
 
--- a/src/core/flow_token.cpp
+++ b/src/core/gate/flow_token.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/flow_token.h"
+#include "figstair/core/gate/flow_token.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/core/gate_map.cpp
+++ b/src/core/gate/gate_map.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/gate_map.h"
+#include "figstair/core/gate/gate_map.h"
 
 #include <vector>
 
--- a/src/core/gate_role.cpp
+++ b/src/core/gate/gate_role.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/gate_role.h"
+#include "figstair/core/gate/gate_role.h"
 
 #include <algorithm>
 
--- a/src/core/host_context.cpp
+++ b/src/core/gate/host_context.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/host_context.h"
+#include "figstair/core/gate/host_context.h"
 
 namespace figstair {
 
--- a/src/core/host_core.cpp
+++ b/src/core/gate/host_core.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/host_core.h"
+#include "figstair/core/gate/host_core.h"
 
 #include <boost/leaf.hpp>
 
--- a/src/core/host_output.cpp
+++ b/src/core/gate/host_output.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/host_output.h"
+#include "figstair/core/gate/host_output.h"
 
 #include <array>
 
--- a/src/core/member.cpp
+++ b/src/core/gate/member.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/member.h"
+#include "figstair/core/gate/member.h"
 
 #include <array>
 #include <tuple>
--- a/src/core/membership.cpp
+++ b/src/core/gate/membership.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/membership.h"
+#include "figstair/core/gate/membership.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/placement.cpp
+++ b/src/core/gate/placement.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/placement.h"
+#include "figstair/core/gate/placement.h"
 
 #include <vector>
 
--- a/src/core/receiver.cpp
+++ b/src/core/gate/receiver.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/receiver.h"
+#include "figstair/core/gate/receiver.h"
 
 #include <boost/leaf.hpp>
 
--- a/src/core/table_keeper.cpp
+++ b/src/core/gate/table_keeper.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/table_keeper.h"
+#include "figstair/core/gate/table_keeper.h"
 
 #include <algorithm>
 
--- a/src/core/upstream_gate.cpp
+++ b/src/core/gate/upstream_gate.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/upstream_gate.h"
+#include "figstair/core/gate/upstream_gate.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/core/warm_up.cpp
+++ b/src/core/gate/warm_up.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/warm_up.h"
+#include "figstair/core/gate/warm_up.h"
 
 #include <algorithm>
 
--- a/src/core/silence_watch.cpp
+++ b/src/core/health/silence_watch.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/silence_watch.h"
+#include "figstair/core/health/silence_watch.h"
 
 #include <algorithm>
 
--- a/src/core/upstream_health.cpp
+++ b/src/core/health/upstream_health.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/upstream_health.h"
+#include "figstair/core/health/upstream_health.h"
 
 #include <algorithm>
 
--- a/src/core/caller_shares.cpp
+++ b/src/core/load/caller_shares.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/caller_shares.h"
+#include "figstair/core/load/caller_shares.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/core/event_rate.cpp
+++ b/src/core/load/event_rate.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/event_rate.h"
+#include "figstair/core/load/event_rate.h"
 
 #include <cmath>
 
--- a/src/core/flow_admission.cpp
+++ b/src/core/load/flow_admission.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/flow_admission.h"
+#include "figstair/core/load/flow_admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/load_board.cpp
+++ b/src/core/load/load_board.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/load_board.h"
+#include "figstair/core/load/load_board.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/service_times.cpp
+++ b/src/core/load/service_times.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/service_times.h"
+#include "figstair/core/load/service_times.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/slot_shares.cpp
+++ b/src/core/load/slot_shares.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/slot_shares.h"
+#include "figstair/core/load/slot_shares.h"
 
 #include <algorithm>
 
--- a/src/core/peer_roster.cpp
+++ b/src/core/view/peer_roster.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/peer_roster.h"
+#include "figstair/core/view/peer_roster.h"
 
 #include <algorithm>
 #include <unordered_set>
--- a/src/core/route_table.cpp
+++ b/src/core/view/route_table.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/route_table.h"
+#include "figstair/core/view/route_table.h"
 
 #include <algorithm>
 #include <unordered_map>
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -13,7 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf.hpp>
 
-#include "figstair/core/entry_core.h"
+#include "figstair/core/flow/entry_core.h"
 #include "figstair/host/asio_endpoint.h"
 #include "figstair/host/event_log.h"
 #include "figstair/host/freeze_detector.h"
--- a/src/host/host_process.cpp
+++ b/src/host/host_process.cpp
@@ -10,7 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf.hpp>
 
-#include "figstair/core/host_core.h"
+#include "figstair/core/gate/host_core.h"
 #include "figstair/host/asio_endpoint.h"
 #include "figstair/host/event_log.h"
 #include "figstair/host/metrics.h"
--- a/src/host/process_settings.cpp
+++ b/src/host/process_settings.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/leaf.hpp>
 
-#include "figstair/core/flow_token.h"
+#include "figstair/core/gate/flow_token.h"
 
 namespace leaf = boost::leaf;
 
--- a/tests/core/cold_allowance_test.cpp
+++ b/tests/core/cold_allowance_test.cpp
@@ -6,7 +6,7 @@
 #include <doctest/doctest.h>
 
 #include "entry/entry_doubles.h"
-#include "figstair/core/flow_placer.h"
+#include "figstair/core/flow/flow_placer.h"
 
 using namespace figstair;
 
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/entry_core.h"
+#include "figstair/core/flow/entry_core.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/core/entry_parts_test.cpp
+++ b/tests/core/entry_parts_test.cpp
@@ -1,10 +1,10 @@
 #include <doctest/doctest.h>
 
 #include "entry/entry_doubles.h"
-#include "figstair/core/flow_table.h"
-#include "figstair/core/load_board.h"
-#include "figstair/core/peer_roster.h"
-#include "figstair/core/service_times.h"
+#include "figstair/core/flow/flow_table.h"
+#include "figstair/core/load/load_board.h"
+#include "figstair/core/load/service_times.h"
+#include "figstair/core/view/peer_roster.h"
 
 using namespace figstair;
 
--- a/tests/core/flow_admission_test.cpp
+++ b/tests/core/flow_admission_test.cpp
@@ -1,8 +1,8 @@
-#include "figstair/core/flow_admission.h"
+#include "figstair/core/load/flow_admission.h"
 
 #include <doctest/doctest.h>
 
-#include "figstair/core/caller_shares.h"
+#include "figstair/core/load/caller_shares.h"
 
 using namespace figstair;
 
--- a/tests/core/flow_placer_test.cpp
+++ b/tests/core/flow_placer_test.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/flow_placer.h"
+#include "figstair/core/flow/flow_placer.h"
 
 #include <map>
 
--- a/tests/core/order_ledger_test.cpp
+++ b/tests/core/order_ledger_test.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/order_ledger.h"
+#include "figstair/core/gate/order_ledger.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/core/queue_test.cpp
+++ b/tests/core/queue_test.cpp
@@ -1,8 +1,8 @@
 #include <doctest/doctest.h>
 
 #include "figstair/core/fair_queue.h"
-#include "figstair/core/retry_budget.h"
-#include "figstair/core/warm_up.h"
+#include "figstair/core/gate/retry_budget.h"
+#include "figstair/core/gate/warm_up.h"
 
 using namespace figstair;
 
--- a/tests/core/report_exchange_test.cpp
+++ b/tests/core/report_exchange_test.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/report_exchange.h"
+#include "figstair/core/view/report_exchange.h"
 
 #include <algorithm>
 #include <set>
--- a/tests/core/slot_shares_test.cpp
+++ b/tests/core/slot_shares_test.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/slot_shares.h"
+#include "figstair/core/load/slot_shares.h"
 
 #include <map>
 #include <memory>
@@ -6,7 +6,7 @@
 #include <doctest/doctest.h>
 
 #include "entry/entry_doubles.h"
-#include "figstair/core/load_board.h"
+#include "figstair/core/load/load_board.h"
 
 using namespace figstair;
 
--- a/tests/core/upstream_directory_test.cpp
+++ b/tests/core/upstream_directory_test.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/upstream_directory.h"
+#include "figstair/core/view/upstream_directory.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/core/view_feed_test.cpp
+++ b/tests/core/view_feed_test.cpp
@@ -1,4 +1,4 @@
-#include "figstair/core/view_feed.h"
+#include "figstair/core/view/view_feed.h"
 
 #include <deque>
 #include <set>
--- a/tests/entry/entry_doubles.h
+++ b/tests/entry/entry_doubles.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "fake_clock.h"
-#include "figstair/core/entry_output.h"
-#include "figstair/core/fleet_records.h"
+#include "figstair/core/flow/entry_output.h"
+#include "figstair/core/view/fleet_records.h"
 
 namespace figstair {
 
--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "figstair/core/entry_core.h"
+#include "figstair/core/flow/entry_core.h"
 
 namespace figstair {
 
--- a/tests/entry/refusal_truth_test.cpp
+++ b/tests/entry/refusal_truth_test.cpp
@@ -8,7 +8,7 @@
 #include <doctest/doctest.h>
 
 #include "entry/entry_doubles.h"
-#include "figstair/core/entry_core.h"
+#include "figstair/core/flow/entry_core.h"
 
 using namespace figstair;
 
--- a/tests/standins/callers.cpp
+++ b/tests/standins/callers.cpp
@@ -11,7 +11,7 @@
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
 
-#include "figstair/core/answer_assembly.h"
+#include "figstair/core/gate/answer_assembly.h"
 #include "figstair/host/asio_endpoint.h"
 #include "figstair/host/system_clock_source.h"
 #include "figstair/wire/datagram.h"
