Do not report ejections that only follow the owner's

Cause: hosts that had taken over the owner's ejection reported the upstream as ejected, and the owner took these reports for evidence of their own. It ejected the upstream again after each successful trial, so the only upstream of a service stayed ejected on three hosts until the end of the run.

The new test fails without the change.

Change: an ejection that only follows the owner's is left out of reports until the upstream does not answer at this host either.

--- a/include/figstair/core/health/upstream_health.h
+++ b/include/figstair/core/health/upstream_health.h
@@ -59,7 +59,12 @@
     bool hasLocalHistory(upstream_index upstream, monotonic_time now) const;
 
     /// Takes over an ejection by another host, whatever the upstream answered here.
-    void adoptEjection(upstream_index upstream, monotonic_time now);
+    /// @p isFollowing: the other host owns the trials, so this host has no evidence to report.
+    void adoptEjection(upstream_index upstream, bool isFollowing, monotonic_time now);
+
+    /// Whether the upstream is ejected here only because the owner of its trials ejected it. Not
+    /// to be reported: the owner would take its own ejection for another host's.
+    bool isFollowingOwner(upstream_index upstream) const;
 
     /// The host that owns the trials of the upstream does not eject it. Ignored shortly after a
     /// change of state here, of which the owner may not know yet.
@@ -101,6 +106,7 @@
         chart_position state;
         placement_eligibility eligibility = placement_eligibility::unrestricted;
         bool isGood = true; ///< in the state "good", which has no deadline
+        bool isFollowingOwner = false; ///< ejected by adoptEjection(), no timeout here since
         monotonic_time stateDeadline{};
         monotonic_time stateSince{};
         monotonic_time lastAnswerAt{};
--- a/src/core/health/upstream_health.cpp
+++ b/src/core/health/upstream_health.cpp
@@ -57,6 +57,7 @@
     if (item.state.is("good")) {
         item.eligibility = placement_eligibility::unrestricted;
         item.isGood = true;
+        item.isFollowingOwner = false;
     } else if (item.state.is("suspected")) {
         item.eligibility = placement_eligibility::lastResort;
         item.stateDeadline = now + suspicionTime;
@@ -119,6 +120,7 @@
     record &item = at(upstream);
     expireState(item, now);
     item.lastTimeoutAt = now;
+    item.isFollowingOwner = false;
     fire(item, "timeout", now);
 }
 
@@ -180,11 +182,18 @@
     && now - m_records[upstream].firstLocalAnswerAt >= probationTime;
 }
 
-void upstream_health::adoptEjection(upstream_index upstream, monotonic_time now)
+void upstream_health::adoptEjection(upstream_index upstream, bool isFollowing, monotonic_time now)
 {
     record &item = at(upstream);
     expireState(item, now);
+    const bool wasEjected = isEjected(upstream);
     fire(item, "ejectedByOwner", now);
+    item.isFollowingOwner = isFollowing && (!wasEjected || item.isFollowingOwner);
+}
+
+bool upstream_health::isFollowingOwner(upstream_index upstream) const
+{
+    return upstream < m_records.size() && m_records[upstream].isFollowingOwner;
 }
 
 monotonic_time upstream_health::stateSince(upstream_index upstream) const
--- a/src/core/view/report_exchange.cpp
+++ b/src/core/view/report_exchange.cpp
@@ -136,7 +136,7 @@
     for (load_row &row : report.rows) {
         const upstream_index upstream = m_directory.findTag(row.tag);
         if (upstream != noUpstream) {
-            row.isEjected = m_health.isEjected(upstream);
+            row.isEjected = m_health.isEjected(upstream) && !m_health.isFollowingOwner(upstream);
             row.hasAnswered = m_health.lastLocalAnswerTime(upstream) > m_lastReportAt;
             row.isSuspected = m_health.isLocallySuspected(upstream, now);
         }
@@ -226,7 +226,7 @@
     const bool wasEjected = m_health.isEjected(upstream);
     if ((isOwn || owner == sender) && !m_roster.isLargeFleet()
         && !m_health.hasLocalHistory(upstream, now)) {
-        m_health.adoptEjection(upstream, now);
+        m_health.adoptEjection(upstream, !isOwn, now);
     } else if (isOwn) {
         m_health.onEjectedByPeer(upstream, true, now);
     } else if (owner == sender && m_roster.isLargeFleet()) {
--- a/tests/core/report_exchange_test.cpp
+++ b/tests/core/report_exchange_test.cpp
@@ -225,7 +225,30 @@
     CHECK(health.eligibilityOf(indexOf(id), now) == placement_eligibility::unrestricted);
 }
 
-// Guards against the same at a host that has become the owner by its start.
+// Guards against an ejection that never ends: the owner took the reports of the hosts that followed
+// it for evidence of their own, and ejected the upstream again after each successful trial.
+TEST_CASE_FIXTURE(small_fleet,
+                  "report_exchange: an ejection that only follows the owner's: not reported, until "
+                  "the upstream does not answer here either")
+{
+    const std::uint64_t id = ownedBy("h2").front();
+    receiveReport(2, {load_row{upstreamTag(id), 0, 0, true}});
+    REQUIRE(health.isEjected(indexOf(id)));
+    const auto isReported = [&] {
+        bool isEjected = false;
+        for (const outgoing_report &sent : run(milliseconds(150))) {
+            for (const load_row &row : sent.report.rows) {
+                isEjected = isEjected || (row.tag == upstreamTag(id) && row.isEjected);
+            }
+        }
+        return isEjected;
+    };
+    CHECK_FALSE(isReported());
+    health.onTimeout(indexOf(id), now);
+    CHECK(isReported());
+}
+
+// Guards against the full load on a returned upstream at a host that became its owner by its start.
 TEST_CASE_FIXTURE(
     small_fleet,
     "report_exchange: another host reports an ejection of an owned upstream without a "
