Simulate flows that carry several requests

The simulation opened a flow for every request, so it could not show what callers lose on open flows to dead upstreams. A request_class may now set the requests of a flow, the pause between them, and whether requests are safe. Callers keep open flows and use them again; a reset of an open flow makes them repeat a safe request on a new flow, and fails an unsafe one.

New faults: a host cut off from one upstream, and entries that lapse in an outage of the store. Resets of open flows are counted, those at upstreams that are alive and undisturbed separately. Where flows carry several requests, a restarted upstream resets flows that it does not know.

--- a/tests/entry/entry_world.cpp
+++ b/tests/entry/entry_world.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstring>
-#include <deque>
 
 #include "entry/entry_doubles.h"
 
@@ -21,8 +20,24 @@
 constexpr std::uint32_t routeAddress = 0xC6120001;
 constexpr std::uint16_t routePort = 443;
 constexpr std::uint32_t ackBeforeAnswer = 1;
-constexpr std::uint32_t ackAfterAnswer = 1000;
-constexpr std::uint32_t ackAfterError = 120;
+constexpr std::uint32_t answerBytes = 999;
+constexpr std::uint32_t errorBytes = 119;
+constexpr std::uint16_t requestBytes = 100;
+
+/// A caller that keeps flows open repeats a request after 200, 600 and 1400 ms only.
+constexpr unsigned maxTransmissions = 4;
+
+/// A caller ignores a reset of an open flow whose sequence number is farther from what it has
+/// acknowledged.
+constexpr std::uint32_t resetWindow = 76'800;
+
+/// How long an upstream counts as disturbed after a fault; on small deployments.
+constexpr milliseconds disturbanceTime{4000};
+
+constexpr milliseconds heartbeatInterval{1200};
+
+/// Grace period for lapsed entries that hosts use after an outage of the store.
+constexpr milliseconds lapseGrace{2200};
 
 const std::string serviceName = "desk";
 
@@ -48,7 +63,7 @@
         std::memcpy(&content, packet.data(), sizeof content);
         const auto target = static_cast<std::size_t>(upstream.entry.id - 1);
         const unsigned other = world.upstreamZone(target);
-        if (world.isCutBetween(zone, other)) {
+        if (world.isCutBetween(zone, other) || world.isLinkCut(index, target)) {
             return;
         }
         world.after(zone == other ? sameZoneLatency : crossZoneLatency,
@@ -56,14 +71,9 @@
                         world.onUpstreamPacket(target, content, tag);
                     });
     }
-    void reset(const flow_id &flow, std::uint32_t) override
+    void reset(const flow_id &flow, std::uint32_t sequence) override
     {
-        world.after(callerLatency, [this, flow] {
-            const auto found = world.m_attempts.find({flow.callerAddress, flow.callerPort});
-            if (found != world.m_attempts.end()) {
-                world.refuse(*found->second);
-            }
-        });
+        world.onHostReset(*this, flow, sequence);
     }
     void logEvent(std::string_view, event_fields) override { }
     void count(entry_counter which, std::uint64_t amount) override
@@ -105,8 +115,9 @@
     std::uint64_t incarnation = 0;
     std::map<std::size_t, unsigned> startedBySecond;
     std::vector<monotonic_time> openings;
-    std::map<std::pair<std::uint32_t, std::uint16_t>, bool>
-        flows; ///< whether its request has arrived
+    /// Sequence number of the last request of each flow, or 0.
+    std::map<std::pair<std::uint32_t, std::uint16_t>, std::uint32_t> flows;
+    monotonic_time disturbedUntil{};
 };
 
 struct entry_world::request
@@ -119,6 +130,7 @@
     monotonic_time sentAt{};
     unsigned tries = 0;
     bool isOver = false;
+    attempt *flow = nullptr; ///< of the last try
 };
 
 struct entry_world::attempt
@@ -131,7 +143,10 @@
     bool reachedUpstream = false; ///< one of its SYNs
     std::uint32_t tag = 0;
     std::size_t upstreamIndex = 0;
-    unsigned dataTransmissions = 0;
+    unsigned dataTransmissions = 0; ///< of the current request
+    unsigned answers = 0;
+    std::uint32_t sequence = 2; ///< of the current request
+    std::uint32_t acknowledged = ackBeforeAnswer;
 };
 
 entry_world::entry_world(const world_plan &plan)
@@ -362,7 +377,9 @@
     second_result sent;
     sent.sent = 1;
     record(added, sent);
-    startAttempt(added);
+    if (!sendOnIdleFlow(added)) {
+        startAttempt(added);
+    }
     after(m_plan.deadline, [this, &added] { finish(added, false); });
     std::exponential_distribution<double> gap(m_plan.requestsPerSecond * m_loadFactor / 1000.0);
     const double wait = gap(m_random) + m_arrivalRemainder;
@@ -395,6 +412,7 @@
     m_allAttempts.push_back(std::make_unique<attempt>());
     attempt &started = *m_allAttempts.back();
     started.owner = &requestState;
+    requestState.flow = &started;
     started.startedAt = m_clock.monotonic();
     started.flow = flow_id{requestState.caller, routeAddress, ++m_nextPort,
                            static_cast<std::uint16_t>(routePort + requestState.kind)};
@@ -412,6 +430,93 @@
     });
 }
 
+bool entry_world::sendOnIdleFlow(request &requestState)
+{
+    const auto found = m_idleFlows.find({requestState.caller, requestState.kind});
+    while (found != m_idleFlows.end() && !found->second.empty()) {
+        attempt &flow = *found->second.front();
+        found->second.pop_front();
+        if (!flow.isOver) {
+            ++requestState.tries;
+            requestState.flow = &flow;
+            flow.owner = &requestState;
+            flow.dataTransmissions = 0;
+            flow.sequence += requestBytes;
+            sendData(flow);
+            return true;
+        }
+    }
+    return false;
+}
+
+const request_class &entry_world::kindOf(const flow_id &flow) const
+{
+    return m_plan.classes[static_cast<std::size_t>(flow.routePort - routePort)];
+}
+
+void entry_world::onHostReset(const host &from, const flow_id &flow, std::uint32_t sequence)
+{
+    const std::pair<std::uint32_t, std::uint16_t> key{flow.callerAddress, flow.callerPort};
+    const auto current = m_attempts.find(key);
+    const bool isOpen = current != m_attempts.end() && current->second->isOpen;
+    if (isOpen && isDisturbed(from, current->second->upstreamIndex)) {
+        ++m_resetFlows;
+    } else if (isOpen) {
+        ++m_wrongResets;
+        ++m_falseRefusals;
+    }
+    after(callerLatency, [this, key, isOpen, sequence] {
+        const auto found = m_attempts.find(key);
+        if (found != m_attempts.end() && isOpen) {
+            onOpenFlowReset(*found->second, sequence);
+        } else if (found != m_attempts.end()) {
+            refuse(*found->second);
+        }
+    });
+}
+
+void entry_world::onOpenFlowReset(attempt &attemptState, std::uint32_t sequence)
+{
+    if (sequence - attemptState.acknowledged + resetWindow > 2 * resetWindow) {
+        return;
+    }
+    if (!attemptState.owner->isOver) {
+        second_result refused;
+        refused.refusedTries = 1;
+        record(*attemptState.owner, refused);
+    }
+    endAttempt(attemptState);
+}
+
+std::size_t entry_world::openFlows(std::size_t upstream) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_attempts.begin(), m_attempts.end(), [upstream](const auto &entry) {
+            return entry.second->isOpen && entry.second->upstreamIndex == upstream;
+        }));
+}
+
+void entry_world::disturb(std::size_t upstream)
+{
+    m_upstreams[upstream]->disturbedUntil = m_clock.monotonic() + disturbanceTime;
+}
+
+bool entry_world::isLinkCut(std::size_t host, std::size_t upstream) const
+{
+    const auto found = m_linkFaultEnds.find({host, upstream});
+    return found != m_linkFaultEnds.end() && found->second == monotonic_time::max();
+}
+
+bool entry_world::isDisturbed(const host &from, std::size_t upstream) const
+{
+    const entry_world::upstream &state = *m_upstreams[upstream];
+    const monotonic_time now = m_clock.monotonic();
+    const auto link = m_linkFaultEnds.find({from.index, upstream});
+    return state.isSilent || state.isRefusing || now < state.disturbedUntil
+        || isCutBetween(from.zone, state.zone)
+        || (link != m_linkFaultEnds.end() && now - disturbanceTime < link->second);
+}
+
 void entry_world::refuse(attempt &attemptState)
 {
     if (attemptState.isOver || attemptState.owner->isOver) {
@@ -432,7 +537,12 @@
     }
     attemptState.isOver = true;
     m_attempts.erase({attemptState.flow.callerAddress, attemptState.flow.callerPort});
-    if (!attemptState.owner->isOver) {
+    if (attemptState.owner->isOver) {
+        return;
+    }
+    if (attemptState.isOpen && !kindOf(attemptState.flow).isSafe) {
+        finish(*attemptState.owner, false); // it may have run
+    } else {
         startAttempt(*attemptState.owner);
     }
 }
@@ -456,17 +566,22 @@
     }
     flow_packet packet;
     packet.isAck = true;
-    packet.sequence = 2;
-    packet.acknowledged = ackBeforeAnswer;
-    packet.payloadBytes = 100;
+    packet.sequence = attemptState.sequence;
+    packet.acknowledged = attemptState.acknowledged;
+    packet.payloadBytes = requestBytes;
     sendFromCaller(attemptState, packet);
     const milliseconds wait =
         retransmissionInterval * (1 << std::min(attemptState.dataTransmissions++, 3U));
-    after(wait, [this, &attemptState] {
+    if (kindOf(attemptState.flow).requestsPerFlow > 1
+        && attemptState.dataTransmissions == maxTransmissions) {
+        return;
+    }
+    after(wait, [this, &attemptState, sequence = attemptState.sequence] {
         const auto &flows = m_upstreams[attemptState.upstreamIndex]->flows;
         const auto found =
             flows.find({attemptState.flow.callerAddress, attemptState.flow.callerPort});
-        if (found == flows.end() || !found->second) {
+        if (attemptState.sequence == sequence
+            && (found == flows.end() || found->second < sequence)) {
             sendData(attemptState);
         }
     });
@@ -480,7 +595,11 @@
     }
     const std::pair<std::uint32_t, std::uint16_t> key{packet.flow.callerAddress,
                                                       packet.flow.callerPort};
-    if (upstreamState.isRefusing) {
+    // A restarted process does not know the flows of the previous one. Callers with one request per
+    // flow are simulated as if this reset were lost.
+    const bool isUnknown = packet.payloadBytes > 0 && kindOf(packet.flow).requestsPerFlow > 1
+        && upstreamState.flows.count(key) == 0;
+    if (upstreamState.isRefusing || isUnknown) {
         after(callerLatency, [this, key] {
             const auto refused = m_attempts.find(key);
             if (refused != m_attempts.end()) {
@@ -495,7 +614,7 @@
             caller->second->reachedUpstream = true;
         }
         upstreamState.openings.push_back(m_clock.monotonic());
-        upstreamState.flows.emplace(key, false);
+        upstreamState.flows.emplace(key, 0);
         after(callerLatency, [this, key, tag, index] {
             const auto found = m_attempts.find(key);
             if (found == m_attempts.end() || found->second->isOpen) {
@@ -510,10 +629,11 @@
         return;
     }
     const auto found = upstreamState.flows.find(key);
-    if (found == upstreamState.flows.end() || found->second || packet.payloadBytes == 0) {
+    if (found == upstreamState.flows.end() || found->second >= packet.sequence
+        || packet.payloadBytes == 0) {
         return;
     }
-    found->second = true;
+    found->second = packet.sequence;
     if (upstreamState.isFailing || upstreamState.waiting.size() >= m_plan.queueCapacity) {
         answerWithError(index, packet.flow);
         return;
@@ -535,9 +655,7 @@
 milliseconds entry_world::workOf(const flow_id &flow) const
 {
     const auto found = m_attempts.find({flow.callerAddress, flow.callerPort});
-    return found != m_attempts.end()
-        ? found->second->owner->work
-        : m_plan.classes[static_cast<std::size_t>(flow.routePort - routePort)].workTime;
+    return found != m_attempts.end() ? found->second->owner->work : kindOf(flow).workTime;
 }
 
 void entry_world::startWork(std::size_t index)
@@ -575,13 +693,22 @@
     if (attemptState.isOver) {
         return;
     }
+    attemptState.acknowledged += isServed ? answerBytes : errorBytes;
+    const request_class &kind = kindOf(attemptState.flow);
+    const bool isKept = isServed && ++attemptState.answers < kind.requestsPerFlow;
     flow_packet packet;
     packet.isAck = true;
-    packet.isFin = true;
-    packet.sequence = 102;
-    packet.acknowledged = isServed ? ackAfterAnswer : ackAfterError;
+    packet.isFin = !isKept;
+    packet.sequence = attemptState.sequence + requestBytes;
+    packet.acknowledged = attemptState.acknowledged;
     sendFromCaller(attemptState, packet);
-    if (isServed) {
+    if (isKept) {
+        finish(*attemptState.owner, true);
+        after(kind.pauseBetweenRequests, [this, &attemptState] {
+            m_idleFlows[{attemptState.flow.callerAddress, attemptState.owner->kind}].push_back(
+                &attemptState);
+        });
+    } else if (isServed) {
         attemptState.isOver = true;
         m_attempts.erase({attemptState.flow.callerAddress, attemptState.flow.callerPort});
         finish(*attemptState.owner, true);
@@ -607,6 +734,9 @@
         outcome.late = 1;
     }
     record(requestState, outcome);
+    if (!isServed && kindOf(requestState.flow->flow).requestsPerFlow > 1) {
+        endAttempt(*requestState.flow);
+    }
 }
 
 record_change entry_world::upstreamChangeOf(std::size_t index) const
@@ -671,16 +801,19 @@
 void entry_world::setUpstreamSilent(std::size_t upstream, bool isSilent)
 {
     m_upstreams[upstream]->isSilent = isSilent;
+    disturb(upstream);
 }
 
 void entry_world::setUpstreamRefusing(std::size_t upstream, bool isRefusing)
 {
     m_upstreams[upstream]->isRefusing = isRefusing;
+    disturb(upstream);
 }
 
 void entry_world::setUpstreamFailing(std::size_t upstream, bool isFailing)
 {
     m_upstreams[upstream]->isFailing = isFailing;
+    disturb(upstream);
 }
 
 void entry_world::setUpstreamSlowdown(std::size_t upstream, double slowdown)
@@ -697,6 +830,7 @@
 void entry_world::restartUpstreamCold(std::size_t index, milliseconds coldFor)
 {
     upstream &upstreamState = *m_upstreams[index];
+    disturb(index);
     ++upstreamState.incarnation;
     upstreamState.busy = 0;
     upstreamState.waiting.clear();
@@ -711,6 +845,35 @@
 void entry_world::cutZone(unsigned zone, bool isCut)
 {
     m_cutZones[zone] = isCut;
+    for (std::size_t upstream = 0; upstream < m_upstreams.size(); ++upstream) {
+        disturb(upstream);
+    }
+}
+
+void entry_world::cutHostFromUpstream(std::size_t host, std::size_t upstream, bool isCut)
+{
+    m_linkFaultEnds[{host, upstream}] = isCut ? monotonic_time::max() : m_clock.monotonic();
+}
+
+void entry_world::lapseEntries(milliseconds returnAfter)
+{
+    ++m_revision;
+    for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
+        record_change lapsed;
+        lapsed.kind = record_kind::upstream;
+        lapsed.upstreamId = index + 1;
+        lapsed.revision = m_revision;
+        lapsed.content = record_change::removed{};
+        for (const auto &hostState : m_hosts) {
+            if (hostState->core && hostState->core->hasConfig()) {
+                hostState->core->keepLapsedUntil(m_clock.monotonic() + lapseGrace);
+                hostState->core->onRecordChange(lapsed);
+            }
+        }
+        const auto spread = static_cast<std::uint64_t>(heartbeatInterval.count());
+        after(returnAfter + milliseconds(static_cast<std::int64_t>(m_random() % spread)),
+              [this, index] { announce(index); });
+    }
 }
 
 unsigned entry_world::requestsStarted(std::size_t upstream, std::size_t second) const
--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,6 +36,11 @@
     milliseconds workTime{60}; ///< mean; uniformly distributed from 50% to 150%
     milliseconds latencyTarget{250};
     unsigned priority = 0;
+    /// A caller closes a flow after this many answers. With more than one, callers keep open flows
+    /// for their next requests.
+    unsigned requestsPerFlow = 1;
+    milliseconds pauseBetweenRequests{0}; ///< at least, on one flow after an answer
+    bool isSafe = true; ///< retried after a failure of an open flow
 };
 
 /// Parameters of a simulated deployment. All times are simulated, not measured.
@@ -106,6 +112,11 @@
     void restartUpstreamCold(std::size_t upstream, milliseconds coldFor);
     void setUpstreamSlowdown(std::size_t upstream, double slowdown);
     void cutZone(unsigned zone, bool isCut);
+    /// While cut, no packet that @p host forwards reaches @p upstream.
+    void cutHostFromUpstream(std::size_t host, std::size_t upstream, bool isCut);
+    /// The store comes back from an outage in which the entries of all upstreams expired; they
+    /// return one by one, from @p returnAfter on within a heartbeat.
+    void lapseEntries(milliseconds returnAfter);
     void setZoneDemand(std::vector<double> shares) { m_plan.zoneDemand = std::move(shares); }
     /// Multiplies the rate of requests.
     void setLoad(double factor) { m_loadFactor = factor; }
@@ -153,6 +164,16 @@
     /// Number of flows that a host refused although its caller's SYN reached an upstream.
     unsigned falseRefusals() const { return m_falseRefusals; }
 
+    /// Number of open flows that a host reset although their upstream was alive and undisturbed,
+    /// for this host at least.
+    unsigned wrongResets() const { return m_wrongResets; }
+
+    /// Number of open flows that a host reset while their upstream was dead or disturbed.
+    unsigned resetFlows() const { return m_resetFlows; }
+
+    /// Number of flows that callers have open to @p upstream now, idle ones included.
+    std::size_t openFlows(std::size_t upstream) const;
+
     /// Sum of a counter over all hosts.
     std::uint64_t countOf(entry_counter which) const
     {
@@ -188,6 +209,13 @@
     host *pickHost(const flow_id &flow, unsigned zone);
     void sendFromCaller(attempt &from, flow_packet packet);
     void startAttempt(request &requestState);
+    bool sendOnIdleFlow(request &requestState);
+    const request_class &kindOf(const flow_id &flow) const;
+    void onHostReset(const host &from, const flow_id &flow, std::uint32_t sequence);
+    void onOpenFlowReset(attempt &attemptState, std::uint32_t sequence);
+    void disturb(std::size_t upstream);
+    bool isDisturbed(const host &from, std::size_t upstream) const;
+    bool isLinkCut(std::size_t host, std::size_t upstream) const;
     void endAttempt(attempt &attemptState);
     unsigned upstreamZone(std::size_t upstream) const;
     void sendOpening(attempt &attemptState, unsigned retransmissions);
@@ -222,6 +250,13 @@
     std::vector<second_result> m_greedySeconds;
     std::vector<milliseconds> m_refusalTimes;
     unsigned m_falseRefusals = 0;
+    unsigned m_wrongResets = 0;
+    unsigned m_resetFlows = 0;
+    /// Flows without a request, by caller and kind, in the order in which they became idle. May
+    /// contain flows that are over.
+    std::map<std::pair<std::uint32_t, std::size_t>, std::deque<attempt *>> m_idleFlows;
+    /// Ends of the faults between hosts and upstreams.
+    std::map<std::pair<std::size_t, std::size_t>, monotonic_time> m_linkFaultEnds;
     std::map<entry_counter, std::uint64_t> m_counts;
     double m_loadFactor = 1;
     std::vector<bool> m_cutZones;
