Add the command figstair config check

Cause: a configuration could only be checked by writing it to the store. Hosts then reported the first error, without the route or service that it is in.

Change: `figstair config check FILE [--against FILE] [--json]` prints all parts of a file that hosts could not decode, the findings of checkConfig(), and the differences from a second file. decodeConfig() gives each problem with its place; hosts still stop at the first and reject the whole record, and their record_unreadable lines now name its place. What hosts accept is unchanged. Texts that are not texts, and addresses that are not IPv4, are named by their field instead of the library's message.

--- a/include/figstair/host/platform_adapter.h
+++ b/include/figstair/host/platform_adapter.h
@@ -5,8 +5,10 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/leaf/result.hpp>
 
 #include "figstair/core/flow/flow_packet.h"
+#include "figstair/core/view/fleet_records.h"
 #include "figstair/core/view/upstream_directory.h"
 #include "figstair/store/fleet_store.h"
 #include "figstair/wire/datagram.h"
@@ -43,6 +45,9 @@
     /// Creates a client of the store at @p address; @p timeout applies to each call.
     virtual std::unique_ptr<fleet_store>
     openStore(boost::asio::io_context &io, const endpoint &address, milliseconds timeout) const = 0;
+
+    /// Decodes a file with a configuration as the store holds it. Fails with undecodable_config.
+    virtual boost::leaf::result<route_config> decodeConfigFile(const std::string &text) const = 0;
 };
 
 } // namespace figstair
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -17,6 +17,7 @@
   figstair table check FILE.csv               validate a sheet
   figstair table diff|apply|show|history ...  compare, change or show the stored table
   figstair table rotate-key ...               add a new flow-token key
+  figstair config check FILE ...              check a configuration of the platform
   figstair status --host IP:PORT ...          query a running host
   figstair status [FILE...]                   last known state of entry hosts, from logs
   figstair explain --flow FLOW [FILE...]      decisions about a flow, from hosts' logs
@@ -36,6 +37,9 @@
     if (command == "table") {
         return figstair::runTable(args);
     }
+    if (command == "config") {
+        return figstair::runConfig(args);
+    }
     if (command == "status") {
         return figstair::runStatus(args);
     }
--- a/tests/platform/record_format_test.cpp
+++ b/tests/platform/record_format_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <boost/leaf.hpp>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -44,6 +45,25 @@
         decoded("servers/i-00000000000000ff", entry.dump()).content);
 }
 
+/// The findings in a file with a configuration, as "PLACE: TEXT" and one a line.
+std::string problemsOf(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_CHECK(platform::decodeConfigFile(text));
+            return std::string();
+        },
+        [](const undecodable_config &error) {
+            std::string lines;
+            for (const config_finding &finding : error.findings) {
+                CHECK(finding.severity == finding_severity::error);
+                lines += finding.place + ": " + finding.text + "\n";
+            }
+            return lines;
+        },
+        [] { return std::string("unexpected error"); });
+}
+
 } // namespace
 
 TEST_CASE("record_format: an entry of an upstream: all used fields are read")
@@ -187,6 +207,31 @@
     }
 }
 
+// An author who sees only the first error of a file needs as many runs as it has errors.
+TEST_CASE("record_format: a file with several errors: each is found, with its place")
+{
+    const std::string text = R"({"version": -1, "routes": [
+        {"name": "a", "host": "198.18.0.1.2", "prefix": "/443/", "service": "s"},
+        {"name": "b", "host": "198.18.0.1", "prefix": "/443/", "service": "s"},
+        {"name": 3, "host": "198.18.0.1", "prefix": "/80/", "service": "s"},
+        {"name": "d", "host": "198.18.0.1", "prefix": "/81/", "service": "s", "aim-ms": "soon"}
+        ], "services": [{"name": "s", "warmup-per-s": -1}],
+        "limits": {"idle-timeout-ms": -1}})";
+    CHECK(problemsOf(text)
+          == "version: version is not an unsigned integer\n"
+             "routes/a: host is not an IPv4 address\n"
+             "routes[2]: name is not a text\n"
+             "routes/d: aim-ms is not a number\n"
+             "services/s: warmup-per-s is not a number within its bounds\n"
+             "limits: idle-timeout-ms is out of range\n");
+    const record_change change = decoded("op/config", text);
+    CHECK(std::get<record_change::unreadable>(change.content).problem
+          == "version: version is not an unsigned integer");
+    CHECK(problemsOf("{\"version\": 1, \"services\": null}") == "routes: is missing\n");
+    CHECK(problemsOf("{\"version\": 1, \"routes\": [], \"services\": []}").empty());
+    CHECK(problemsOf("{\n,}").find("at line 2, column 1") != std::string::npos);
+}
+
 TEST_CASE("record_format: an evacuation: names its zone, whatever the value")
 {
     const record_change change = decoded("op/evacuate/north-1", "?");
