Reset open flows whose upstream is dead

Hosts had recorded the missing acknowledgements and went on forwarding.

Change: dead_upstreams judges the evidence against upstreams, which reports now share (4 bytes for each upstream that leaves data unacknowledged); dead_flow_resetter resets a flow whose request is repeated if a second source says that the upstream is gone, and all flows of an upstream if three hosts agree.

--- a/include/figstair/core/flow/entry_core.h
+++ b/include/figstair/core/flow/entry_core.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "figstair/core/flow/dead_flow_resetter.h"
 #include "figstair/core/flow/flow_context.h"
 #include "figstair/core/flow/flow_opener.h"
 #include "figstair/core/health/silence_watch.h"
@@ -37,6 +38,9 @@
     /// Handles one packet of a caller. @p bytes is the unmodified packet.
     void onPacket(const flow_packet &packet, byte_view bytes);
 
+    /// The socket for callers' packets was found empty: later packets have arrived since.
+    void onInputDrained() { m_deadFlows.onInputDrained(m_clock.monotonic()); }
+
     /// Applies one change of a store record.
     void onRecordChange(const record_change &change);
 
@@ -114,7 +118,8 @@
                               upstream_index upstream);
     void adoptFlow(const flow_packet &packet, flow_record &record, upstream_index upstream);
     void recordAnswer(const flow_packet &packet, flow_record &record);
-    void recordRequest(const flow_packet &packet, flow_record &record);
+    /// Returns whether the packet repeats the latest request and acknowledges nothing new.
+    bool recordRequest(const flow_packet &packet, flow_record &record);
     void sweepFlows();
     void sweepRoster();
 
@@ -131,6 +136,7 @@
     service_times m_serviceTimes;
     flow_context m_context; ///< refers to the members above
     silence_watch m_silence;
+    dead_flow_resetter m_deadFlows;
     flow_opener m_opener;
     monotonic_time m_nextSweep{};
     monotonic_time m_nextRosterSweep{};
--- a/include/figstair/core/flow/entry_output.h
+++ b/include/figstair/core/flow/entry_output.h
@@ -29,6 +29,7 @@
     flowsDropped, ///< as flowsRefused, but without a reset, since an upstream might open them
     /// Refused or dropped although an upstream had a free slot by the latest reports.
     flowsRefusedWithFreeSlot,
+    flowsResetUpstreamDead,
     trialsSent,
     coldFlowsSent,
     ejections,
--- a/include/figstair/core/flow/entry_settings.h
+++ b/include/figstair/core/flow/entry_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "figstair/core/flow/part_mode.h"
 #include "figstair/core/view/fleet_records.h"
 
 namespace figstair {
@@ -18,6 +19,9 @@
     // where rate is service_limits::coldRequestsPerSecond.
     double coldOvershoot = 1.5; ///< factor on the rate
     double coldSlack = 5; ///< per second, added to the product
+    /// Whether callers are told by a reset that the upstream of their open flow is dead. Automatic:
+    /// on routes whose flows carry several requests.
+    part_mode resetDeadFlows = part_mode::automatic;
     std::size_t maxFlows = 65536; ///< capacity of the flow table; 100 bytes per flow
 };
 
--- a/include/figstair/core/flow/flow_opener.h
+++ b/include/figstair/core/flow/flow_opener.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "figstair/core/flow/dead_flow_resetter.h"
 #include "figstair/core/flow/flow_context.h"
 #include "figstair/core/flow/flow_placer.h"
 #include "figstair/core/flow/flow_refuser.h"
@@ -19,8 +20,10 @@
 class flow_opener
 {
 public:
-    /// @p context and @p silence must outlive the opener. @p seed initialises the random numbers.
-    flow_opener(const flow_context &context, silence_watch &silence, std::uint64_t seed);
+    /// @p context, @p silence and @p deadFlows must outlive the opener. @p seed initialises the
+    /// random numbers.
+    flow_opener(const flow_context &context, silence_watch &silence, dead_flow_resetter &deadFlows,
+                std::uint64_t seed);
 
     /// Handles a SYN of a caller. @p bytes is the unmodified packet.
     void onOpening(const flow_packet &packet, byte_view bytes);
@@ -79,6 +82,7 @@
 
     const flow_context &m_context;
     silence_watch &m_silence;
+    dead_flow_resetter &m_deadFlows;
     flow_refuser m_refuser;
     slot_shares m_shares;
     flow_placer m_placer;
--- a/include/figstair/core/flow/flow_packet.h
+++ b/include/figstair/core/flow/flow_packet.h
@@ -25,6 +25,12 @@
 /// 64-bit hash of all fields; the same on every host.
 std::uint64_t hashOf(const flow_id &flow);
 
+/// The route address and port of the flow in one number.
+constexpr std::uint64_t routeKeyOf(const flow_id &flow)
+{
+    return std::uint64_t{flow.routeAddress} << 16U | flow.routePort;
+}
+
 /// Formats a flow for logs as caller and route address, as in 10.0.0.1:80>198.18.0.1:443.
 std::string toText(const flow_id &flow);
 
--- /dev/null
+++ b/include/figstair/core/health/dead_upstreams.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "figstair/core/clock_source.h"
+#include "figstair/core/view/upstream_directory.h"
+
+namespace figstair {
+
+/// Judges which upstreams are dead, by data on open flows that they did not acknowledge.
+///
+/// Load pattern: upstreams stop answering while flows that carry many requests are open to them.
+/// Callers get nothing on such a flow and would wait until their deadline.
+///
+/// The evidence has to be such that no busy, slow, cold or draining upstream gives it. An upstream
+/// acknowledges data before it works on it, whatever its load, so missing acknowledgements count.
+/// Unanswered SYNs do not: an upstream with all its connections in use sends nothing. One host
+/// alone proves nothing either, since its own links may be down. Any later answer of the upstream
+/// ends the evidence against it.
+class dead_upstreams
+{
+public:
+    /// The host @p witness (a hash of its name) saw data that the upstream did not acknowledge.
+    void onUnacknowledged(upstream_index upstream, std::uint64_t witness, monotonic_time now);
+
+    /// Another host reported the upstream as suspected or ejected.
+    void onSuspectedByPeer(upstream_index upstream, monotonic_time now);
+
+    /// The upstream answered through any host at about @p when.
+    void onAnswered(upstream_index upstream, monotonic_time when);
+
+    /// Forgets the evidence: the upstream restarted, or its index now names another one.
+    void reset(upstream_index upstream) { m_records.erase(upstream); }
+
+    /// Removes evidence that is too old to matter, and returns the upstreams that count as dead
+    /// since the last call.
+    std::vector<upstream_index> advance(monotonic_time now);
+
+    /// Whether another host than @p self has evidence against the upstream since its last answer.
+    bool hasPeerEvidence(upstream_index upstream, std::uint64_t self, monotonic_time now) const;
+
+    /// Whether any host saw unacknowledged data since the last answer.
+    bool hasUnacknowledged(upstream_index upstream) const;
+
+    /// Whether several hosts agreed, at the last advance(), for long enough that the upstream
+    /// acknowledges nothing. Stays true until it answers or restarts.
+    bool isDead(upstream_index upstream) const;
+
+    /// Upstreams that @p witness saw leave data unacknowledged at or after @p since, with no answer
+    /// after it; at most @p maxCount.
+    std::vector<upstream_index> seenBy(std::uint64_t witness, monotonic_time since,
+                                       std::size_t maxCount) const;
+
+    std::size_t size() const { return m_records.size(); }
+
+private:
+    /// Hosts kept for each upstream. More than are needed, so that old ones do not displace new
+    /// ones.
+    static constexpr std::size_t maxWitnesses = 8;
+
+    struct sighting
+    {
+        std::uint64_t witness = 0;
+        monotonic_time firstAt{}; ///< zero: no sighting
+        monotonic_time lastAt{};
+    };
+    struct record
+    {
+        std::array<sighting, maxWitnesses> sightings;
+        monotonic_time suspectedByPeerAt{};
+        bool isDead = false;
+    };
+
+    record *recordFor(upstream_index upstream);
+    static bool isConclusive(const record &item, monotonic_time now);
+
+    std::unordered_map<upstream_index, record> m_records;
+};
+
+} // namespace figstair
--- a/include/figstair/core/health/upstream_health.h
+++ b/include/figstair/core/health/upstream_health.h
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "figstair/core/clock_source.h"
+#include "figstair/core/health/dead_upstreams.h"
 #include "figstair/core/state_chart.h"
 #include "figstair/core/view/upstream_directory.h"
 
@@ -92,6 +93,10 @@
     /// Upstreams for which isLocallySuspected() holds, latest timeouts first, at most @p maxCount.
     std::vector<upstream_index> locallySuspected(monotonic_time now, std::size_t maxCount) const;
 
+    /// Evidence that upstreams are dead, which answers and reports passed to this object affect.
+    dead_upstreams &deadUpstreams() { return m_deadUpstreams; }
+    const dead_upstreams &deadUpstreams() const { return m_deadUpstreams; }
+
     /// Name of the state in the chart, for logs.
     std::string_view stateName(upstream_index upstream) const;
 
@@ -124,6 +129,7 @@
     void expireState(record &item, monotonic_time now);
 
     std::vector<record> m_records;
+    dead_upstreams m_deadUpstreams;
 };
 
 } // namespace figstair
--- a/include/figstair/core/view/report_exchange.h
+++ b/include/figstair/core/view/report_exchange.h
@@ -19,6 +19,9 @@
     std::vector<endpoint> targets;
 };
 
+/// The number that names the host in dead_upstreams.
+std::uint64_t witnessOf(const std::string &host);
+
 /// Schedules this host's reports to other hosts and applies their reports. Reports are periodic.
 /// News is a triggered update, sent before the next periodic report is due. In a large fleet it has
 /// only recent suspicions and ejections, goes to the hosts of the own zone and leaves the periodic
@@ -50,7 +53,7 @@
     void onReport(const peer_report &report, const store_position &ownView, monotonic_time now);
 
 private:
-    peer_report beginReport();
+    peer_report beginReport(monotonic_time now);
     /// Full report: this host's loads and its state of the upstreams' health.
     peer_report makeReport(monotonic_time now);
     /// News only: recent suspicions and ejections.
@@ -64,6 +67,7 @@
     load_board &m_loads;
     upstream_health &m_health;
     peer_roster &m_roster;
+    std::uint64_t m_ownWitness; ///< this host in dead_upstreams
     std::uint64_t m_sequence = 0;
     monotonic_time m_nextReport{};
     monotonic_time m_nextNews{};
--- a/include/figstair/wire/entry_message.h
+++ b/include/figstair/wire/entry_message.h
@@ -26,6 +26,8 @@
     std::vector<load_row> rows;
     unsigned newFlowsPerSecond = 0; ///< that callers open at the sender; 0: not known
     std::uint64_t viewEpoch = 0; ///< epoch of the store that viewRevision counts in
+    /// Tags of upstreams that did not acknowledge data of the sender's callers a moment ago.
+    std::vector<std::uint32_t> unacknowledging;
 };
 
 /// Changes of store records that a host forwards to other hosts.
--- /dev/null
+++ b/src/core/flow/dead_flow_resetter.cpp
@@ -0,0 +1,148 @@
+#include "figstair/core/flow/dead_flow_resetter.h"
+
+#include "figstair/core/hex_text.h"
+
+namespace figstair {
+namespace {
+
+/// Time in which an upstream acknowledges data. Callers retransmit after 200 ms, so what is
+/// repeated sooner was duplicated by the network or waited in this host's socket.
+constexpr milliseconds minUnacknowledgedTime{100};
+
+/// An answer through any host that is known from this time contradicts the evidence.
+constexpr milliseconds recentAnswerTime{150};
+
+/// Repeated requests prove nothing for this long after a freeze of the process.
+constexpr milliseconds graceAfterFreeze{400};
+
+} // namespace
+
+dead_flow_resetter::dead_flow_resetter(const flow_context &context)
+    : m_context(context)
+    , m_ownWitness(witnessOf(context.roster.self().name))
+{
+}
+
+void dead_flow_resetter::onFreeze(monotonic_time now)
+{
+    m_ignoreUntil = now + graceAfterFreeze;
+}
+
+bool dead_flow_resetter::isEnabledFor(const flow_id &flow) const
+{
+    switch (m_context.settings.resetDeadFlows) {
+    case part_mode::on:
+        return true;
+    case part_mode::off:
+        return false;
+    case part_mode::automatic:
+        break;
+    }
+    return m_reuse.carriesSeveralRequests(flow);
+}
+
+/// What says, besides a request of this host's caller, that the upstream is gone; empty: nothing.
+std::string_view dead_flow_resetter::secondSourceFor(upstream_index upstream) const
+{
+    const known_upstream &known = m_context.directory.at(upstream);
+    const monotonic_time now = m_context.clock.monotonic();
+    if (m_context.health.deadUpstreams().hasPeerEvidence(upstream, m_ownWitness, now)) {
+        return "other_hosts";
+    }
+    if (!known.isListed) {
+        return "entry_gone";
+    }
+    if (!m_context.roster.isZoneReachable(known.entry.zone, now)) {
+        return "zone_unreachable";
+    }
+    return {};
+}
+
+bool dead_flow_resetter::isDead(upstream_index upstream) const
+{
+    const dead_upstreams &evidence = m_context.health.deadUpstreams();
+    return evidence.isDead(upstream)
+        || (evidence.hasUnacknowledged(upstream) && !m_context.directory.at(upstream).isListed);
+}
+
+/// Whether another upstream of the service may take new flows, by what this host knows.
+bool dead_flow_resetter::hasAlternative(upstream_index upstream) const
+{
+    upstream_directory &directory = m_context.directory;
+    const std::string &service = directory.at(upstream).entry.service;
+    const monotonic_time now = m_context.clock.monotonic();
+    for (std::size_t number = 0; number < directory.zoneCount(); ++number) {
+        const auto zone = static_cast<std::uint16_t>(number);
+        if (!m_context.roster.isZoneReachable(directory.zoneName(zone), now)) {
+            continue;
+        }
+        for (const upstream_index other : directory.candidates(service, zone)) {
+            if (other != upstream && !m_context.health.isEjected(other)
+                && now >= directory.at(other).coldUntil) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool dead_flow_resetter::onPacket(const flow_packet &packet, flow_record &record, bool isRepeated)
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    const bool isUnacknowledged = isRepeated
+        && m_inputDrainedAt - record.requestSentAt >= minUnacknowledgedTime && now >= m_ignoreUntil;
+    if (packet.isFin || packet.isRst || !isEnabledFor(packet.flow)) {
+        return false;
+    }
+    if (isUnacknowledged) {
+        m_context.health.deadUpstreams().onUnacknowledged(record.upstream, m_ownWitness, now);
+        m_context.reports.noteNews();
+        const bool hasAnswered =
+            now - m_context.health.lastAnswerTime(record.upstream) <= recentAnswerTime;
+        const std::string_view source =
+            hasAnswered ? std::string_view() : secondSourceFor(record.upstream);
+        if (!source.empty() && hasAlternative(record.upstream)) {
+            reset(packet.flow, record, source);
+            return true;
+        }
+    }
+    if (isDead(record.upstream) && hasAlternative(record.upstream)) {
+        reset(packet.flow, record, "dead");
+        return true;
+    }
+    return false;
+}
+
+void dead_flow_resetter::onSweep(const flow_id &flow, flow_record &record)
+{
+    if (record.phase == flow_phase::open && isDead(record.upstream) && isEnabledFor(flow)
+        && hasAlternative(record.upstream)) {
+        reset(flow, record, "dead");
+    }
+}
+
+void dead_flow_resetter::reset(const flow_id &flow, flow_record &record, std::string_view evidence)
+{
+    m_context.stopAwaitingAnswer(record);
+    record.phase = flow_phase::closed;
+    m_context.output.count(entry_counter::flowsResetUpstreamDead, 1);
+    m_context.output.logEvent(
+        "flow_reset",
+        {{"flow", toText(flow)},
+         {"reason", "upstream_dead"},
+         {"upstream", toHex(m_context.directory.at(record.upstream).entry.id)},
+         {"evidence", std::string(evidence)}});
+    m_context.output.reset(flow, record.lastAcknowledged);
+}
+
+void dead_flow_resetter::advance()
+{
+    dead_upstreams &evidence = m_context.health.deadUpstreams();
+    for (const upstream_index upstream : evidence.advance(m_context.clock.monotonic())) {
+        const upstream_record &entry = m_context.directory.at(upstream).entry;
+        m_context.output.logEvent("upstream_dead",
+                                  {{"upstream", toHex(entry.id)}, {"zone", entry.zone}});
+    }
+}
+
+} // namespace figstair
--- a/src/core/flow/entry_core.cpp
+++ b/src/core/flow/entry_core.cpp
@@ -79,7 +79,8 @@
     , m_context{m_settings, m_clock,  m_output,  m_routes, m_directory,    m_loads,
                 m_health,   m_roster, m_reports, m_flows,  m_serviceTimes, clock.monotonic()}
     , m_silence(m_context)
-    , m_opener(m_context, m_silence, seed)
+    , m_deadFlows(m_context)
+    , m_opener(m_context, m_silence, m_deadFlows, seed)
 {
     m_directory.setReturnColdTime(settings.heartbeat * returnColdHeartbeats);
 }
@@ -170,10 +171,13 @@
         onHandshakeCompleted(packet, *record, upstream);
     }
     recordAnswer(packet, *record);
-    recordRequest(packet, *record);
+    const bool isRepeated = recordRequest(packet, *record);
     record->lastSequence = packet.sequence;
     record->lastAcknowledged = packet.isAck ? packet.acknowledged : record->lastAcknowledged;
     record->lastPacketAt = m_clock.monotonic();
+    if (m_deadFlows.onPacket(packet, *record, isRepeated)) {
+        return;
+    }
     forward(bytes, record->upstream);
     if (packet.isFin || packet.isRst) {
         m_context.stopAwaitingAnswer(*record);
@@ -260,17 +264,20 @@
     m_context.stopAwaitingAnswer(record);
 }
 
-void entry_core::recordRequest(const flow_packet &packet, flow_record &record)
+bool entry_core::recordRequest(const flow_packet &packet, flow_record &record)
 {
     if (packet.payloadBytes == 0) {
-        return;
+        return false;
     }
     const monotonic_time now = m_clock.monotonic();
     if (record.hasSentData && packet.sequence == record.lastDataSequence) {
         if (record.awaitsAnswer) {
             m_silence.onRequestRepeated(packet.flow, record);
         }
-        return;
+        return packet.acknowledged == record.acknowledgedAtRequest;
+    }
+    if (!record.hasSentData || packet.acknowledged != record.acknowledgedAtRequest) {
+        m_deadFlows.onRequest(packet.flow);
     }
     record.hasSentData = true;
     record.lastDataSequence = packet.sequence;
@@ -280,6 +287,7 @@
         record.awaitsAnswer = true;
         m_loads.addOpenRequest(record.upstream);
     }
+    return false;
 }
 
 void entry_core::tick()
@@ -296,6 +304,7 @@
         if (now >= m_nextRosterSweep) {
             m_nextRosterSweep = now + rosterSweepInterval;
             sweepRoster();
+            m_deadFlows.advance();
         }
     }
 }
@@ -319,6 +328,7 @@
     const milliseconds minTimeout = isStable ? minIdleTimeout : minIdleTimeoutUnstable;
     m_flows.sweep(flowsPerSweep, [&](const flow_id &flow, flow_record &record) {
         const milliseconds idle = now - record.lastPacketAt;
+        m_deadFlows.onSweep(flow, record);
         if (record.awaitsAnswer
             && idle
                 > std::clamp(m_context.expectedTime(flow) * factor, minTimeout, maxIdleTimeout)) {
@@ -349,6 +359,7 @@
     m_output.count(entry_counter::freezes, 1);
     const monotonic_time now = m_clock.monotonic();
     m_silence.onFreeze();
+    m_deadFlows.onFreeze(now);
     m_roster.onResumed(now);
     if (gap >= longFreezeThreshold) {
         m_isResuming = true;
--- a/src/core/flow/entry_output.cpp
+++ b/src/core/flow/entry_output.cpp
@@ -23,6 +23,7 @@
     "flows_refused",
     "flows_dropped",
     "flows_refused_with_free_slot",
+    "flows_reset_upstream_dead",
     "trials_sent",
     "cold_flows_sent",
     "ejections",
--- a/src/core/flow/flow_opener.cpp
+++ b/src/core/flow/flow_opener.cpp
@@ -44,9 +44,11 @@
     return flow_admission::queueLimit(request);
 }
 
-flow_opener::flow_opener(const flow_context &context, silence_watch &silence, std::uint64_t seed)
+flow_opener::flow_opener(const flow_context &context, silence_watch &silence,
+                         dead_flow_resetter &deadFlows, std::uint64_t seed)
     : m_context(context)
     , m_silence(silence)
+    , m_deadFlows(deadFlows)
     , m_refuser(context)
     , m_shares(context.directory, context.health, context.roster)
     , m_placer(context.directory, context.loads, context.health, context.roster, seed)
@@ -75,6 +77,7 @@
     if (existing == nullptr) {
         record.openingSequence = packet.sequence;
         record.firstOpeningAt = now - flow_refuser::ageAtOpening(count);
+        m_deadFlows.onOpening(packet.flow);
         if (count == 0) {
             const std::string &service = m_context.routes.serviceFor(*route, packet.flow);
             m_shares.onArrival(now);
--- /dev/null
+++ b/src/core/health/dead_upstreams.cpp
@@ -0,0 +1,176 @@
+#include "figstair/core/health/dead_upstreams.h"
+
+#include <algorithm>
+
+namespace figstair {
+namespace {
+
+/// Hosts that have to agree before all flows of an upstream are reset. Two hosts may share a broken
+/// link to it.
+constexpr std::size_t minWitnesses = 3;
+
+/// Time within which they have to see it, and the least time from the first sighting: longer than a
+/// report of an answer through another host of the zone takes in a small fleet, and than a packet
+/// is held up by a change of routing.
+constexpr milliseconds agreementWindow{2000};
+constexpr milliseconds minEvidenceTime{400};
+
+/// A suspicion by another host counts this long. In a large fleet each host of a zone hears the
+/// others about once a second.
+constexpr milliseconds suspicionLifetime{1500};
+
+/// Evidence is forgotten after this time, unless the upstream counts as dead. No caller repeats a
+/// request that long after the last acknowledgement.
+constexpr milliseconds evidenceLifetime{10000};
+
+/// Upstreams with evidence that are kept: those of a zone of the target size.
+constexpr std::size_t maxRecords = 4096;
+
+} // namespace
+
+dead_upstreams::record *dead_upstreams::recordFor(upstream_index upstream)
+{
+    const auto found = m_records.find(upstream);
+    if (found != m_records.end()) {
+        return &found->second;
+    }
+    return m_records.size() < maxRecords ? &m_records[upstream] : nullptr;
+}
+
+void dead_upstreams::onUnacknowledged(upstream_index upstream, std::uint64_t witness,
+                                      monotonic_time now)
+{
+    record *item = recordFor(upstream);
+    if (item == nullptr) {
+        return;
+    }
+    auto &sightings = item->sightings;
+    auto found = std::find_if(sightings.begin(), sightings.end(), [&](const sighting &seen) {
+        return seen.firstAt != monotonic_time{} && seen.witness == witness;
+    });
+    if (found == sightings.end()) {
+        found = std::min_element(
+            sightings.begin(), sightings.end(),
+            [](const sighting &a, const sighting &b) { return a.lastAt < b.lastAt; });
+        *found = sighting{witness, now, now};
+    } else {
+        found->lastAt = std::max(found->lastAt, now);
+    }
+}
+
+void dead_upstreams::onSuspectedByPeer(upstream_index upstream, monotonic_time now)
+{
+    if (record *item = recordFor(upstream)) {
+        item->suspectedByPeerAt = now;
+    }
+}
+
+void dead_upstreams::onAnswered(upstream_index upstream, monotonic_time when)
+{
+    if (m_records.empty()) {
+        return;
+    }
+    const auto found = m_records.find(upstream);
+    if (found == m_records.end()) {
+        return;
+    }
+    record &item = found->second;
+    // Reports of answers may arrive after the evidence of what came later, which then remains.
+    bool isEvidenceLeft = item.suspectedByPeerAt > when;
+    for (sighting &seen : item.sightings) {
+        if (seen.lastAt <= when) {
+            seen = sighting{};
+        } else {
+            seen.firstAt = std::max(seen.firstAt, when);
+            isEvidenceLeft = true;
+        }
+    }
+    if (!isEvidenceLeft) {
+        m_records.erase(found);
+    }
+}
+
+bool dead_upstreams::isConclusive(const record &item, monotonic_time now)
+{
+    std::size_t agreeing = 0;
+    monotonic_time firstAt = now;
+    for (const sighting &seen : item.sightings) {
+        if (seen.firstAt != monotonic_time{} && now - seen.lastAt <= agreementWindow) {
+            ++agreeing;
+            firstAt = std::min(firstAt, seen.firstAt);
+        }
+    }
+    return agreeing >= minWitnesses && now - firstAt >= minEvidenceTime;
+}
+
+std::vector<upstream_index> dead_upstreams::advance(monotonic_time now)
+{
+    std::vector<upstream_index> died;
+    for (auto entry = m_records.begin(); entry != m_records.end();) {
+        record &item = entry->second;
+        if (!item.isDead && isConclusive(item, now)) {
+            item.isDead = true;
+            died.push_back(entry->first);
+        }
+        monotonic_time lastAt = item.suspectedByPeerAt;
+        for (const sighting &seen : item.sightings) {
+            lastAt = std::max(lastAt, seen.lastAt);
+        }
+        const bool isOutdated = !item.isDead && now - lastAt > evidenceLifetime;
+        entry = isOutdated ? m_records.erase(entry) : std::next(entry);
+    }
+    return died;
+}
+
+bool dead_upstreams::hasPeerEvidence(upstream_index upstream, std::uint64_t self,
+                                     monotonic_time now) const
+{
+    const auto found = m_records.find(upstream);
+    if (found == m_records.end()) {
+        return false;
+    }
+    const record &item = found->second;
+    const bool isSuspected = item.suspectedByPeerAt != monotonic_time{}
+        && now - item.suspectedByPeerAt <= suspicionLifetime;
+    return isSuspected
+        || std::any_of(item.sightings.begin(), item.sightings.end(), [&](const sighting &seen) {
+               return seen.firstAt != monotonic_time{} && seen.witness != self
+                   && now - seen.lastAt <= suspicionLifetime;
+           });
+}
+
+bool dead_upstreams::hasUnacknowledged(upstream_index upstream) const
+{
+    const auto found = m_records.find(upstream);
+    return found != m_records.end()
+        && std::any_of(found->second.sightings.begin(), found->second.sightings.end(),
+                       [](const sighting &seen) { return seen.firstAt != monotonic_time{}; });
+}
+
+bool dead_upstreams::isDead(upstream_index upstream) const
+{
+    if (m_records.empty()) {
+        return false;
+    }
+    const auto found = m_records.find(upstream);
+    return found != m_records.end() && found->second.isDead;
+}
+
+std::vector<upstream_index> dead_upstreams::seenBy(std::uint64_t witness, monotonic_time since,
+                                                   std::size_t maxCount) const
+{
+    std::vector<upstream_index> list;
+    for (const auto &[upstream, item] : m_records) {
+        const bool isSeen =
+            std::any_of(item.sightings.begin(), item.sightings.end(), [&](const sighting &seen) {
+                return seen.firstAt != monotonic_time{} && seen.witness == witness
+                    && seen.lastAt >= since;
+            });
+        if (isSeen && list.size() < maxCount) {
+            list.push_back(upstream);
+        }
+    }
+    return list;
+}
+
+} // namespace figstair
--- a/src/core/health/upstream_health.cpp
+++ b/src/core/health/upstream_health.cpp
@@ -93,6 +93,7 @@
     if (item.firstLocalAnswerAt == monotonic_time{}) {
         item.firstLocalAnswerAt = now;
     }
+    m_deadUpstreams.onAnswered(upstream, now);
     if (!item.isGood) {
         expireState(item, now);
         fire(item, "answered", now);
@@ -103,6 +104,7 @@
 {
     record &item = at(upstream);
     item.lastAnswerAt = std::max(item.lastAnswerAt, when);
+    m_deadUpstreams.onAnswered(upstream, when);
 }
 
 monotonic_time upstream_health::lastAnswerTime(upstream_index upstream) const
@@ -154,6 +156,7 @@
     if (now - item.lastAnswerAt <= recentAnswerAge) {
         return;
     }
+    m_deadUpstreams.onSuspectedByPeer(upstream, now);
     const bool isConfirmed = item.state.is("suspected") && isLocallySuspected(upstream, now);
     fire(item, isConfirmed ? "timeout" : "peerReport", now);
 }
@@ -163,6 +166,7 @@
     record &item = at(upstream);
     expireState(item, now);
     if (now - item.lastAnswerAt > recentAnswerAge) {
+        m_deadUpstreams.onSuspectedByPeer(upstream, now);
         fire(item, ownsTrials ? "peerReportToOwner" : "peerReport", now);
     }
 }
@@ -172,6 +176,7 @@
     record &item = at(upstream);
     expireState(item, now);
     if (now - item.lastAnswerAt > recentAnswerAge) {
+        m_deadUpstreams.onSuspectedByPeer(upstream, now);
         fire(item, "ejectedByOwner", now);
     }
 }
@@ -213,6 +218,7 @@
 {
     if (upstream < m_records.size()) {
         m_records[upstream] = record(upstreamHealthChart());
+        m_deadUpstreams.reset(upstream);
     }
 }
 
--- a/src/core/load/service_times.cpp
+++ b/src/core/load/service_times.cpp
@@ -36,11 +36,6 @@
 constexpr double minTimeoutMs = 30.0;
 constexpr double maxTimeoutMs = 120.0;
 
-std::uint64_t routeKey(const flow_id &flow)
-{
-    return std::uint64_t{flow.routeAddress} << 16U | flow.routePort;
-}
-
 } // namespace
 
 answer_verdict service_times::onAnswer(const flow_id &flow, milliseconds answerTime,
@@ -48,7 +43,7 @@
                                        std::uint32_t answerBytes)
 {
     const auto [entry, isNew] = m_routeMeans.try_emplace(
-        routeKey(flow),
+        routeKeyOf(flow),
         mean{initialShareOfTarget * double(latencyTarget.count()), double(answerBytes), 1});
     mean &routeMean = entry->second;
     const double sample = static_cast<double>(answerTime.count()) / std::max(1.0, requestsPerSlot);
@@ -76,7 +71,7 @@
 milliseconds service_times::expectedAnswerTime(const flow_id &flow,
                                                milliseconds latencyTarget) const
 {
-    const auto found = m_routeMeans.find(routeKey(flow));
+    const auto found = m_routeMeans.find(routeKeyOf(flow));
     return milliseconds(std::llround(found == m_routeMeans.end()
                                          ? initialShareOfTarget * double(latencyTarget.count())
                                          : found->second.ms));
--- a/src/core/view/report_exchange.cpp
+++ b/src/core/view/report_exchange.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <unordered_set>
 
+#include "figstair/core/rendezvous.h"
+
 namespace figstair {
 namespace {
 
@@ -19,14 +21,23 @@
 /// They are reported in rotation: 1,000 upstreams of a lost zone within 16 reports.
 constexpr std::size_t maxIndirectRows = 64;
 
+/// Unacknowledged data is reported for this time, so that each host of a zone hears of it.
+constexpr milliseconds unacknowledgedReportTime{1000};
+
 } // namespace
 
+std::uint64_t witnessOf(const std::string &host)
+{
+    return rendezvousScore(0, host);
+}
+
 report_exchange::report_exchange(const upstream_directory &directory, load_board &loads,
                                  upstream_health &health, peer_roster &roster)
     : m_directory(directory)
     , m_loads(loads)
     , m_health(health)
     , m_roster(roster)
+    , m_ownWitness(witnessOf(roster.self().name))
 {
 }
 
@@ -73,19 +84,23 @@
     return outgoing_report{makeNews(now), std::move(targets)};
 }
 
-peer_report report_exchange::beginReport()
+peer_report report_exchange::beginReport(monotonic_time now)
 {
     peer_report report;
     report.sender = m_roster.self();
     report.sequence = ++m_sequence;
     report.isLeaving = m_isLeaving;
+    for (const upstream_index upstream : m_health.deadUpstreams().seenBy(
+             m_ownWitness, now - unacknowledgedReportTime, maxNewsRows)) {
+        report.unacknowledging.push_back(m_directory.at(upstream).tag);
+    }
     m_hasNews = false;
     return report;
 }
 
 peer_report report_exchange::makeNews(monotonic_time now)
 {
-    peer_report report = beginReport();
+    peer_report report = beginReport(now);
     report.isDelta = true;
     for (const upstream_index upstream : m_health.locallySuspected(now, maxNewsRows)) {
         load_row row;
@@ -112,7 +127,7 @@
 
 peer_report report_exchange::makeReport(monotonic_time now)
 {
-    peer_report report = beginReport();
+    peer_report report = beginReport(now);
     report.rows = m_loads.ownRows(now);
     std::unordered_set<std::uint32_t> includedTags;
     for (const load_row &row : report.rows) {
@@ -205,6 +220,15 @@
             applyEjection(upstream, report.sender.name, now);
         }
     }
+    if (isCredible) {
+        for (const std::uint32_t tag : report.unacknowledging) {
+            const upstream_index upstream = m_directory.findTag(tag);
+            if (upstream != noUpstream) {
+                m_health.deadUpstreams().onUnacknowledged(upstream, witnessOf(report.sender.name),
+                                                          now);
+            }
+        }
+    }
     // A sender with a newer view may have cleared an upstream because it restarted, which this host
     // cannot tell from a recovery.
     const bool isSenderAhead = ownView < store_position{report.viewEpoch, report.viewRevision};
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -249,6 +249,7 @@
             boost::system::error_code error;
             const std::size_t size = m_packetSocket.receive(asio::buffer(m_packetBuffer), 0, error);
             if (error) {
+                m_core->onInputDrained();
                 return;
             }
             const byte_view bytes(m_packetBuffer.data(), size);
--- a/src/host/entry_process_settings.cpp
+++ b/src/host/entry_process_settings.cpp
@@ -36,6 +36,21 @@
     return readEndpoint(text + ":0", target);
 }
 
+/// Parses the setting of a part that can be switched.
+bool readPartMode(const std::string &text, part_mode &target)
+{
+    if (text == "auto") {
+        target = part_mode::automatic;
+    } else if (text == "on") {
+        target = part_mode::on;
+    } else if (text == "off") {
+        target = part_mode::off;
+    } else {
+        return false;
+    }
+    return true;
+}
+
 std::vector<settings_key> knownKeys(entry_process_settings &s)
 {
     constexpr const char *nameText = "a name of 1 to 64 characters without space, comma, = or \"";
@@ -103,6 +118,8 @@
          [&s](const std::string &v) {
              return readNumber<double>(v, 0, 1000000, s.core.coldSlack);
          }},
+        {"upstreams", "reset_dead_flows", false, "auto, on or off",
+         [&s](const std::string &v) { return readPartMode(v, s.core.resetDeadFlows); }},
     };
 }
 
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -15,6 +15,11 @@
 namespace {
 
 constexpr std::size_t encodedRowBytes = 8;
+constexpr std::size_t encodedTagBytes = 4;
+
+/// Tags read from peer_report::unacknowledging. No host sends more.
+constexpr std::size_t maxUnacknowledging = 64;
+
 constexpr std::uint16_t ejectedBit = 0x8000;
 constexpr std::uint16_t answeredBit = 0x4000;
 constexpr std::uint16_t suspectedBit = 0x2000;
@@ -106,6 +111,27 @@
     return json::binary_t(std::move(bytes));
 }
 
+json::binary_t encodeTags(const std::vector<std::uint32_t> &tags)
+{
+    std::vector<std::uint8_t> bytes;
+    bytes.reserve(tags.size() * encodedTagBytes);
+    for (const std::uint32_t tag : tags) {
+        appendBigEndian(bytes, tag, encodedTagBytes);
+    }
+    return json::binary_t(std::move(bytes));
+}
+
+std::vector<std::uint32_t> decodeTags(const std::vector<std::uint8_t> &bytes)
+{
+    std::vector<std::uint32_t> tags;
+    for (std::size_t offset = 0;
+         offset + encodedTagBytes <= bytes.size() && tags.size() < maxUnacknowledging;
+         offset += encodedTagBytes) {
+        tags.push_back(static_cast<std::uint32_t>(readBigEndian(&bytes[offset], encodedTagBytes)));
+    }
+    return tags;
+}
+
 std::vector<load_row> decodeRows(const std::vector<std::uint8_t> &bytes)
 {
     std::vector<load_row> rows;
@@ -368,7 +394,7 @@
         return json::array({reportKind, toJson(report.sender), report.sequence, report.isLeaving,
                             report.viewRevision, report.viewAge.count(), report.configVersion,
                             encodeRows(report.rows), report.isDelta, report.newFlowsPerSecond,
-                            report.viewEpoch});
+                            report.viewEpoch, encodeTags(report.unacknowledging)});
     }
     json operator()(const view_changes &changes) const
     {
@@ -396,6 +422,9 @@
         report.isDelta = value.size() > 8 && value.at(8).get<bool>();
         report.newFlowsPerSecond = value.size() > 9 ? countFrom(value.at(9)) : 0;
         report.viewEpoch = epochFrom(value, 10);
+        if (value.size() > 11) {
+            report.unacknowledging = decodeTags(value.at(11).get_binary());
+        }
         return report;
     }
     case changesKind: {
--- /dev/null
+++ b/tests/core/dead_flow_resetter_test.cpp
@@ -0,0 +1,320 @@
+#include "figstair/core/flow/dead_flow_resetter.h"
+
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "entry/entry_doubles.h"
+#include "figstair/core/flow/entry_core.h"
+
+using namespace figstair;
+
+namespace {
+
+constexpr std::uint32_t routeAddress = 0xC6120001;
+
+class reset_counter : public silent_output
+{
+public:
+    void forward(byte_view, const known_upstream &) override { ++forwarded; }
+    void reset(const flow_id &, std::uint32_t sequence) override
+    {
+        ++resets;
+        lastSequence = sequence;
+    }
+    void count(entry_counter which, std::uint64_t amount) override
+    {
+        counted += which == entry_counter::flowsResetUpstreamDead ? amount : 0;
+    }
+
+    unsigned forwarded = 0;
+    unsigned resets = 0;
+    std::uint32_t lastSequence = 0;
+    std::uint64_t counted = 0;
+};
+
+/// A host of one zone of two, with two upstreams in each, that has passed a request on an open flow
+/// to upstream 1. Hosts h2 and h3 are of its zone, h9 of the other.
+class host_with_open_flow
+{
+public:
+    explicit host_with_open_flow(part_mode mode = part_mode::on)
+    {
+        entry_settings settings;
+        settings.self = host_record{"h1", "here", {}, 1};
+        settings.resetDeadFlows = mode;
+        core.updateSettings(settings);
+        std::vector<record_change> listing(1);
+        route_config config;
+        config.version = 1;
+        config.routes.push_back(
+            route{"r", routeAddress, 443, {{"desk", 1}}, milliseconds(4000), milliseconds(500), 0});
+        listing[0].revision = 50;
+        listing[0].content = config;
+        for (std::uint64_t id = 1; id <= 4; ++id) {
+            listing.push_back(changeOf(entryOf(id), 50 + id));
+        }
+        core.onListing(listing, 100);
+        run(2000);
+        send(1);
+    }
+
+    static upstream_record entryOf(std::uint64_t id, std::int64_t startedAtMs = 1)
+    {
+        upstream_record entry;
+        entry.id = id;
+        entry.service = "desk";
+        entry.zone = id <= 2 ? "here" : "there";
+        entry.slots = 2;
+        entry.startedAtMs = startedAtMs;
+        return entry;
+    }
+
+    /// Lets time pass, with reports from other hosts every 100 ms while they are heard.
+    void run(std::int64_t time)
+    {
+        const monotonic_time end = clock.monotonic() + milliseconds(time);
+        while (clock.monotonic() < end) {
+            clock.advance(milliseconds(10));
+            if (clock.monotonic().time_since_epoch().count() % 100 == 0) {
+                receiveReport("h2", "here");
+                receiveReport("h3", "here");
+                if (isOtherZoneHeard) {
+                    receiveReport("h9", "there");
+                }
+            }
+            core.onInputDrained();
+            core.tick();
+        }
+    }
+
+    void receiveReport(const std::string &name, const std::string &zone,
+                       std::vector<load_row> rows = {},
+                       std::vector<std::uint32_t> unacknowledging = {})
+    {
+        peer_report report;
+        report.sender = host_record{name, zone, {}, 1};
+        report.rows = std::move(rows);
+        report.unacknowledging = std::move(unacknowledging);
+        core.onPeerReport(report);
+    }
+
+    /// Sends the request with number @p number of the flow to upstream @p upstream; the same number
+    /// repeats it. Each acknowledges the answer before.
+    void send(std::uint32_t number, std::uint64_t upstream = 1, std::uint16_t port = 1000)
+    {
+        flow_packet packet;
+        packet.flow = flow_id{0x64400007, routeAddress, port, 443};
+        packet.upstreamTag = upstreamTag(upstream);
+        packet.sequence = 100 * number;
+        packet.acknowledged = 5000 + 1000 * number;
+        packet.payloadBytes = 100;
+        packet.isAck = true;
+        core.onPacket(packet, std::vector<std::uint8_t>{1});
+    }
+
+    static load_row suspectedRow(std::uint64_t upstream)
+    {
+        load_row row;
+        row.tag = upstreamTag(upstream);
+        row.isSuspected = true;
+        return row;
+    }
+
+    fake_clock clock;
+    reset_counter output;
+    entry_core core{entry_settings{host_record{"h1", "here", {}, 1}}, clock, 1, output};
+    bool isOtherZoneHeard = true;
+};
+
+class host_in_automatic_mode : public host_with_open_flow
+{
+public:
+    host_in_automatic_mode()
+        : host_with_open_flow(part_mode::automatic)
+    {
+    }
+};
+
+class host_with_the_part_off : public host_with_open_flow
+{
+public:
+    host_with_the_part_off()
+        : host_with_open_flow(part_mode::off)
+    {
+    }
+};
+
+} // namespace
+
+// Guards against callers that wait on a flow of a dead upstream until their deadline.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: a request is repeated and another host suspects the upstream: reset")
+{
+    run(190);
+    receiveReport("h2", "here", {suspectedRow(1)});
+    run(10);
+    const unsigned forwarded = output.forwarded;
+    send(1);
+    CHECK(output.resets == 1);
+    CHECK(output.lastSequence == 6000);
+    CHECK(output.counted == 1);
+    CHECK(output.forwarded == forwarded);
+}
+
+// Guards against a reset of a flow that only this host cannot serve, or whose packets were delayed
+// here: one wrong reset breaks a flow of a living upstream.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: a request is repeated: not reset without sound evidence")
+{
+    SUBCASE("no second source")
+    {
+        run(200);
+    }
+    SUBCASE("the upstream answered through another host a moment ago")
+    {
+        run(190);
+        receiveReport("h2", "here", {suspectedRow(1)});
+        load_row answered;
+        answered.tag = upstreamTag(1);
+        answered.hasAnswered = true;
+        receiveReport("h3", "here", {answered});
+        run(10);
+    }
+    SUBCASE("both copies waited in the socket of this host")
+    {
+        receiveReport("h2", "here", {suspectedRow(1)});
+        clock.advance(milliseconds(300));
+    }
+    SUBCASE("this host was frozen")
+    {
+        run(190);
+        core.onFreeze(milliseconds(500));
+        receiveReport("h2", "here", {suspectedRow(1)});
+        run(10);
+    }
+    SUBCASE("all other upstreams are gone or cannot be reached")
+    {
+        isOtherZoneHeard = false;
+        record_change gone = changeOf(entryOf(2), 200);
+        gone.content = record_change::removed{};
+        core.onRecordChange(gone);
+        run(1000);
+        receiveReport("h2", "here", {suspectedRow(1)});
+    }
+    send(1);
+    CHECK(output.resets == 0);
+}
+
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: a request is repeated, the entry of the upstream is gone: reset")
+{
+    record_change gone = changeOf(entryOf(1), 200);
+    gone.content = record_change::removed{};
+    core.onRecordChange(gone);
+    run(200);
+    send(1);
+    CHECK(output.resets == 1);
+}
+
+// Guards against an outage of the store that ends flows: entries lapse, their upstreams live.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: a request is repeated, the entry lapses with the store: not reset")
+{
+    core.keepLapsedUntil(clock.monotonic() + milliseconds(2200));
+    record_change gone = changeOf(entryOf(1), 200);
+    gone.content = record_change::removed{};
+    core.onRecordChange(gone);
+    run(200);
+    send(1);
+    CHECK(output.resets == 0);
+}
+
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: the zone of the upstream is silent: a repeated request is reset")
+{
+    send(1, 3, 2000);
+    isOtherZoneHeard = false;
+    run(1000);
+    send(1, 3, 2000);
+    CHECK(output.resets == 1);
+}
+
+// Guards against idle flows whose next request, which may not be retried, is lost as well.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: three hosts agree: idle flows are reset, and others with their next "
+                  "packet, until the upstream answers")
+{
+    receiveReport("h2", "here", {}, {upstreamTag(1)});
+    receiveReport("h3", "here", {}, {upstreamTag(1)});
+    receiveReport("h9", "there", {}, {upstreamTag(1)});
+    run(600);
+    CHECK(output.resets == 1);
+    send(7, 1, 3000);
+    CHECK(output.resets == 2);
+    load_row answered;
+    answered.tag = upstreamTag(1);
+    answered.hasAnswered = true;
+    receiveReport("h2", "here", {answered});
+    send(7, 1, 4000);
+    CHECK(output.resets == 2);
+}
+
+// Guards against flows of the new incarnation that are reset for the death of the one before.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: the upstream restarts under its id: the evidence is forgotten")
+{
+    for (const char *host : {"h2", "h3", "h9"}) {
+        receiveReport(host, "here", {}, {upstreamTag(1)});
+    }
+    run(300);
+    core.onRecordChange(changeOf(entryOf(1, 2), 200));
+    run(600);
+    CHECK(output.resets == 0);
+}
+
+// Guards against a report with absurd contents that ends the flows of all upstreams.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: a host reports every upstream and unknown ones: no flow is reset")
+{
+    std::vector<std::uint32_t> tags{0, 1, 0xFFFFFFFF};
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        tags.push_back(upstreamTag(id));
+    }
+    for (int step = 0; step < 20; ++step) {
+        receiveReport("h2", "here", {}, tags);
+        run(100);
+    }
+    CHECK(output.resets == 0);
+}
+
+// Guards against a change for deployments whose callers open a flow for each request.
+TEST_CASE_FIXTURE(host_in_automatic_mode,
+                  "dead flows: automatic: only routes whose flows carry several requests")
+{
+    const auto repeat = [&](std::uint16_t port) {
+        run(200);
+        receiveReport("h2", "here", {suspectedRow(1)});
+        send(50, 1, port);
+        run(200);
+        receiveReport("h2", "here", {suspectedRow(1)});
+        send(50, 1, port);
+    };
+    repeat(6000);
+    CHECK(output.resets == 0);
+    for (std::uint32_t number = 2; number < 30; ++number) {
+        send(number, 2, 7000);
+    }
+    repeat(6001);
+    CHECK(output.resets == 1);
+}
+
+TEST_CASE_FIXTURE(host_with_the_part_off, "dead flows: switched off: no flow is reset")
+{
+    for (const char *host : {"h2", "h3", "h9"}) {
+        receiveReport(host, "here", {suspectedRow(1)}, {upstreamTag(1)});
+    }
+    run(600);
+    send(1);
+    CHECK(output.resets == 0);
+}
--- /dev/null
+++ b/tests/core/dead_upstreams_test.cpp
@@ -0,0 +1,165 @@
+#include "figstair/core/health/dead_upstreams.h"
+
+#include <doctest/doctest.h>
+
+#include "figstair/core/load/flow_reuse.h"
+
+using namespace figstair;
+
+namespace {
+
+constexpr upstream_index testUpstream = 7;
+
+monotonic_time ms(std::int64_t value)
+{
+    return monotonic_time(milliseconds(10000 + value));
+}
+
+/// Three hosts saw unacknowledged data within 300 ms; judged 450 ms after the first.
+struct agreed_evidence
+{
+    agreed_evidence()
+    {
+        evidence.onUnacknowledged(testUpstream, 1, ms(0));
+        evidence.onUnacknowledged(testUpstream, 2, ms(100));
+        evidence.onUnacknowledged(testUpstream, 3, ms(300));
+    }
+
+    bool isDeadAt(std::int64_t time)
+    {
+        evidence.advance(ms(time));
+        return evidence.isDead(testUpstream);
+    }
+
+    dead_upstreams evidence;
+};
+
+flow_id flowTo(std::uint16_t routePort)
+{
+    return flow_id{1, 2, 3, routePort};
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(agreed_evidence,
+                  "dead_upstreams: three hosts agree: dead after 400 ms, reported once, until it "
+                  "answers or restarts")
+{
+    CHECK_FALSE(isDeadAt(390));
+    CHECK(evidence.advance(ms(410)).size() == 1);
+    CHECK(evidence.advance(ms(420)).empty());
+    CHECK(isDeadAt(60000));
+    SUBCASE("answer")
+    {
+        evidence.onAnswered(testUpstream, ms(60001));
+        CHECK_FALSE(isDeadAt(60002));
+    }
+    SUBCASE("restart")
+    {
+        evidence.reset(testUpstream);
+        CHECK_FALSE(isDeadAt(60002));
+    }
+}
+
+// Guards against one host with a broken link, or two that share it, which would reset flows of an
+// upstream that lives.
+TEST_CASE("dead_upstreams: fewer than three hosts, however often: not dead")
+{
+    dead_upstreams evidence;
+    for (std::int64_t time = 0; time < 5000; time += 100) {
+        evidence.onUnacknowledged(testUpstream, 1 + std::uint64_t(time / 100 % 2), ms(time));
+        evidence.advance(ms(time));
+        CHECK_FALSE(evidence.isDead(testUpstream));
+    }
+}
+
+// Guards against single lost packets of several hosts that add up over time.
+TEST_CASE("dead_upstreams: three hosts, more than two seconds apart: not dead")
+{
+    dead_upstreams evidence;
+    for (std::uint64_t host = 1; host <= 3; ++host) {
+        evidence.onUnacknowledged(testUpstream, host, ms(std::int64_t(host) * 1500));
+        evidence.advance(ms(std::int64_t(host) * 1500 + 400));
+        CHECK_FALSE(evidence.isDead(testUpstream));
+    }
+}
+
+// Guards against a busy upstream that loses some packets and answers others.
+TEST_CASE_FIXTURE(agreed_evidence,
+                  "dead_upstreams: an answer between the sightings: those before it do not count")
+{
+    SUBCASE("after all of them")
+    {
+        evidence.onAnswered(testUpstream, ms(310));
+        CHECK(evidence.size() == 0);
+    }
+    SUBCASE("before the last")
+    {
+        evidence.onAnswered(testUpstream, ms(200));
+        CHECK(evidence.hasUnacknowledged(testUpstream));
+    }
+    CHECK_FALSE(isDeadAt(2000));
+}
+
+TEST_CASE("dead_upstreams: other hosts: their evidence counts for 1.5 s, this host's own does not")
+{
+    dead_upstreams evidence;
+    evidence.onUnacknowledged(testUpstream, 1, ms(0));
+    CHECK_FALSE(evidence.hasPeerEvidence(testUpstream, 1, ms(1)));
+    SUBCASE("suspicion")
+    {
+        evidence.onSuspectedByPeer(testUpstream, ms(0));
+    }
+    SUBCASE("unacknowledged data")
+    {
+        evidence.onUnacknowledged(testUpstream, 2, ms(0));
+    }
+    CHECK(evidence.hasPeerEvidence(testUpstream, 1, ms(1500)));
+    CHECK_FALSE(evidence.hasPeerEvidence(testUpstream, 1, ms(1501)));
+    evidence.onAnswered(testUpstream, ms(1));
+    CHECK_FALSE(evidence.hasPeerEvidence(testUpstream, 1, ms(2)));
+}
+
+// Guards against unbounded memory when reports of other hosts name ever more upstreams.
+TEST_CASE("dead_upstreams: evidence against very many upstreams: bounded, and forgotten in time")
+{
+    dead_upstreams evidence;
+    for (upstream_index upstream = 0; upstream < 100000; ++upstream) {
+        evidence.onUnacknowledged(upstream, 1, ms(0));
+        evidence.onSuspectedByPeer(upstream, ms(0));
+    }
+    CHECK(evidence.size() <= 4096);
+    evidence.advance(ms(10001));
+    CHECK(evidence.size() == 0);
+}
+
+TEST_CASE("flow_reuse: requests per flow of a route: several only if clearly above one")
+{
+    flow_reuse reuse;
+    SUBCASE("one request per flow, some seen at other hosts")
+    {
+        for (int flow = 0; flow < 500; ++flow) {
+            reuse.onRequest(flowTo(1));
+            if (flow % 5 != 0) {
+                reuse.onOpening(flowTo(1));
+            }
+        }
+        CHECK_FALSE(reuse.carriesSeveralRequests(flowTo(1)));
+    }
+    SUBCASE("too few to tell")
+    {
+        for (int request = 0; request < 19; ++request) {
+            reuse.onRequest(flowTo(1));
+        }
+        CHECK_FALSE(reuse.carriesSeveralRequests(flowTo(1)));
+    }
+    SUBCASE("many requests per flow")
+    {
+        for (int request = 0; request < 20; ++request) {
+            reuse.onRequest(flowTo(1));
+        }
+        reuse.onOpening(flowTo(1));
+        CHECK(reuse.carriesSeveralRequests(flowTo(1)));
+        CHECK_FALSE(reuse.carriesSeveralRequests(flowTo(2)));
+    }
+}
--- a/tests/wire/entry_message_test.cpp
+++ b/tests/wire/entry_message_test.cpp
@@ -126,6 +126,24 @@
     CHECK(std::get<view_pull>(decoded(older)).epoch == 0);
 }
 
+TEST_CASE(
+    "entry_message: unacknowledging upstreams: read back as written, none from older hosts, at "
+    "most 64")
+{
+    peer_report report;
+    report.unacknowledging = {7, 4000000000U};
+    const auto read = std::get<peer_report>(decoded(encodeEntryMessage(key, report)));
+    CHECK(read.unacknowledging == report.unacknowledging);
+    report.unacknowledging.assign(1000, 7);
+    CHECK(std::get<peer_report>(decoded(encodeEntryMessage(key, report))).unacknowledging.size()
+          == 64);
+    byte_buffer older = nlohmann::json::to_cbor(nlohmann::json::array(
+        {1, nlohmann::json::array({"h", "z", "10.0.0.1:7000", 1, 0}), 1, false, 1, 0, 1,
+         nlohmann::json::binary_t(std::vector<std::uint8_t>{}), false, 0, 0}));
+    signPeerDatagram(key, older);
+    CHECK(std::get<peer_report>(decoded(older)).unacknowledging.empty());
+}
+
 TEST_CASE("entry_message: wrong key, changed byte or truncated message: refused")
 {
     byte_buffer bytes = encodeEntryMessage(key, view_pull{5, {}});
