Let flows that move to another host end no ejection

Callers saw: upstreams that had stopped answering got new flows again, while hosts were restarted in turn.

Cause: a packet of a flow that this host did not know counted as an answer of its upstream, since the caller got the tag from it. Callers that repeat a request to a dead upstream send such packets, too: they ended its ejection, and other hosts heard that it had answered.

Change: such a packet still counts as the sign that a handshake went on through another host while the upstream is not suspected, and for nothing otherwise.

--- a/include/figstair/core/health/upstream_health.h
+++ b/include/figstair/core/health/upstream_health.h
@@ -30,6 +30,11 @@
     /// A caller acknowledged new data from the upstream.
     void onAnswered(upstream_index upstream, monotonic_time now);
 
+    /// An open flow of the upstream continues at this host. Most likely its handshake has just been
+    /// acknowledged, but it may also be a request that the caller repeats. Does not end a suspicion
+    /// or an ejection.
+    void onFlowMoved(upstream_index upstream, monotonic_time now);
+
     /// The upstream answered through another host at about @p when.
     void onAnsweredAtPeer(upstream_index upstream, monotonic_time when);
 
--- a/src/core/flow/entry_core.cpp
+++ b/src/core/flow/entry_core.cpp
@@ -227,8 +227,7 @@
         record.awaitsAnswer = true;
         m_loads.addOpenRequest(upstream);
     }
-    // The caller got the tag from the upstream, so the upstream has answered recently.
-    m_health.onAnswered(upstream, now);
+    m_health.onFlowMoved(upstream, now);
     m_output.count(entry_counter::flowsAdopted, 1);
 }
 
--- a/src/core/health/upstream_health.cpp
+++ b/src/core/health/upstream_health.cpp
@@ -100,6 +100,15 @@
     }
 }
 
+void upstream_health::onFlowMoved(upstream_index upstream, monotonic_time now)
+{
+    record &item = at(upstream);
+    if (item.isGood) {
+        item.lastAnswerAt = now;
+        item.lastLocalAnswerAt = now;
+    }
+}
+
 void upstream_health::onAnsweredAtPeer(upstream_index upstream, monotonic_time when)
 {
     record &item = at(upstream);
--- a/tests/core/dead_flow_resetter_test.cpp
+++ b/tests/core/dead_flow_resetter_test.cpp
@@ -288,6 +288,24 @@
     CHECK(output.resets == 0);
 }
 
+// Guards against an ejection that a repeated request ends, because it moved to this host.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: a flow of an ejected upstream continues here: the ejection stands")
+{
+    receiveReport("h2", "here", {suspectedRow(1)});
+    run(200);
+    send(1);
+    run(100);
+    send(1, 1, 5000);
+    receiveReport("h2", "here", {suspectedRow(1)});
+    run(200);
+    send(1, 1, 5000);
+    const std::size_t ejected = core.state().ejected;
+    CHECK(ejected == 1);
+    send(1, 1, 6000);
+    CHECK(core.state().ejected == ejected);
+}
+
 // Guards against a change for deployments whose callers open a flow for each request.
 TEST_CASE_FIXTURE(host_in_automatic_mode,
                   "dead flows: automatic: only routes whose flows carry several requests")
