Add the settings key host.leave_when_isolated

Change: part_mode holds such a value, readPartMode() reads it, other words are refused with file, line and key. The key is read but not yet used.

--- a/include/figstair/core/flow/entry_settings.h
+++ b/include/figstair/core/flow/entry_settings.h
@@ -23,6 +23,7 @@
     /// on routes whose flows carry several requests.
     part_mode resetDeadFlows = part_mode::automatic;
     std::size_t maxFlows = 65536; ///< capacity of the flow table; 100 bytes per flow
+    part_mode leaveWhenIsolated = part_mode::automatic; ///< see zone_isolation
 };
 
 } // namespace figstair
--- a/src/host/entry_process_settings.cpp
+++ b/src/host/entry_process_settings.cpp
@@ -55,6 +55,7 @@
 {
     constexpr const char *nameText = "a name of 1 to 64 characters without space, comma, = or \"";
     constexpr const char *addressText = "an IP address and port such as 10.0.0.1:7000";
+    constexpr const char *modeText = "auto, on or off";
     return {
         {"host", "name", true, nameText,
          [&s](const std::string &v) { return readName(v, s.core.self.name); }},
@@ -100,6 +101,8 @@
          [&s](const std::string &v) {
              return readNumber<std::size_t>(v, 1000, 10000000, s.core.maxFlows);
          }},
+        {"host", "leave_when_isolated", false, modeText,
+         [&s](const std::string &v) { return readPartMode(v, s.core.leaveWhenIsolated); }},
         {"store", "endpoint", true, addressText,
          [&s](const std::string &v) { return readEndpoint(v, s.store); }},
         {"store", "timeout_ms", false, "a whole number from 50 to 60000",
@@ -118,7 +121,7 @@
          [&s](const std::string &v) {
              return readNumber<double>(v, 0, 1000000, s.core.coldSlack);
          }},
-        {"upstreams", "reset_dead_flows", false, "auto, on or off",
+        {"upstreams", "reset_dead_flows", false, modeText,
          [&s](const std::string &v) { return readPartMode(v, s.core.resetDeadFlows); }},
     };
 }
--- a/tests/host/entry_settings_test.cpp
+++ b/tests/host/entry_settings_test.cpp
@@ -59,3 +59,17 @@
           == "e.ini:7: key 'host.internal_ports' value 'x': expected the first and the last port, "
              "separated by a comma");
 }
+
+TEST_CASE("entry settings: leave_when_isolated: auto by default, other words are refused")
+{
+    const auto modeOf = [](const std::string &line) {
+        const std::string text = replaced(validSettings, "grace_s = 6\n", line);
+        return valueOf([&] { return parseEntrySettings("e.ini", text); }).core.leaveWhenIsolated;
+    };
+    CHECK(modeOf("") == part_mode::automatic);
+    CHECK(modeOf("leave_when_isolated = auto\n") == part_mode::automatic);
+    CHECK(modeOf("leave_when_isolated = on\n") == part_mode::on);
+    CHECK(modeOf("leave_when_isolated = off\n") == part_mode::off);
+    CHECK(errorText(replaced(validSettings, "grace_s = 6", "leave_when_isolated = yes"))
+          == "e.ini:8: key 'host.leave_when_isolated' value 'yes': expected auto, on or off");
+}
