--- a/include/figstair/core/health/upstream_health.h
+++ b/include/figstair/core/health/upstream_health.h
@@ -47,6 +47,9 @@
     /// A flow or request got no answer from the upstream in time.
     void onTimeout(upstream_index upstream, monotonic_time now);
 
+    /// Time of the last onTimeout(); zero: none.
+    monotonic_time lastTimeoutTime(upstream_index upstream) const;
+
     /// Another host suspects the upstream. Ejects the upstream if this host suspects it too.
     /// Ignored shortly after an answer.
     void onSuspectedByPeer(upstream_index upstream, monotonic_time now);
--- a/include/figstair/core/load/load_board.h
+++ b/include/figstair/core/load/load_board.h
@@ -66,6 +66,9 @@
     /// seconds, so that the upstream is tried again.
     double slownessRatio(upstream_index upstream, monotonic_time now) const;
 
+    /// Time of the last onServed(); zero: none since the last reset().
+    monotonic_time lastServedAt(upstream_index upstream) const;
+
     /// This host's rows for upstreams that are not idle or that are slow.
     std::vector<load_row> ownRows(monotonic_time now) const;
 
--- a/include/figstair/core/view/peer_roster.h
+++ b/include/figstair/core/view/peer_roster.h
@@ -24,6 +24,14 @@
         double newFlowsPerSecond = 0; ///< that it last reported; 0: not known
     };
 
+    /// What is known of the hosts of one zone.
+    struct zone_contact
+    {
+        std::size_t hosts = 0; ///< without this host
+        /// Time of the last message since onResumed(); zero: none.
+        monotonic_time lastHeardAt{};
+    };
+
     explicit peer_roster(host_record self);
 
     /// Applies a change of a host's record in the store. A host that the store no longer lists
@@ -46,6 +54,7 @@
     /// This host starts to take part, or did not run for a while: it does not know what other hosts
     /// sent meanwhile.
     void onResumed(monotonic_time now) { m_resumedAt = now; }
+    monotonic_time resumedAt() const { return m_resumedAt; }
 
     /// Notes hosts that fell silent. Forgets hosts that the store does not list and that sent no
     /// message for a while.
@@ -58,6 +67,10 @@
     /// zones from which none ever arrived.
     bool isZoneReachable(const std::string &zone, monotonic_time now) const;
 
+    /// The hosts of @p zone, and when one of them was last heard. Unlike isZoneReachable(), tells a
+    /// zone that was never heard from one that is heard now.
+    zone_contact contactWith(const std::string &zone) const;
+
     /// Whether this host is the owner of the upstream with the id @p key in @p zone: the one host
     /// that sends it trial and cold flows. Rendezvous hashing picks it among the live hosts of
     /// @p zone, or among all live hosts if @p zone has none. Other hosts that leave are excluded;
--- a/src/core/health/upstream_health.cpp
+++ b/src/core/health/upstream_health.cpp
@@ -135,6 +135,11 @@
     fire(item, "timeout", now);
 }
 
+monotonic_time upstream_health::lastTimeoutTime(upstream_index upstream) const
+{
+    return upstream < m_records.size() ? m_records[upstream].lastTimeoutAt : monotonic_time{};
+}
+
 bool upstream_health::isLocallySuspected(upstream_index upstream, monotonic_time now) const
 {
     return upstream < m_records.size() && m_records[upstream].lastTimeoutAt != monotonic_time{}
--- a/src/core/load/load_board.cpp
+++ b/src/core/load/load_board.cpp
@@ -156,6 +156,11 @@
                     decayed(item.peerRatio, item.peerRatioAt, now));
 }
 
+monotonic_time load_board::lastServedAt(upstream_index upstream) const
+{
+    return upstream < m_records.size() ? m_records[upstream].ownRatioAt : monotonic_time{};
+}
+
 std::vector<load_row> load_board::ownRows(monotonic_time now) const
 {
     std::vector<load_row> rows;
--- a/src/core/view/peer_roster.cpp
+++ b/src/core/view/peer_roster.cpp
@@ -267,6 +267,19 @@
         || now - found->second <= (isLargeFleet() ? zoneSilenceTimeout : minSilenceTimeout);
 }
 
+peer_roster::zone_contact peer_roster::contactWith(const std::string &zone) const
+{
+    zone_contact contact;
+    contact.hosts = static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(),
+                      [&](const auto &item) { return item.second.entry.zone == zone; }));
+    const auto found = m_zoneLastHeardAt.find(zone);
+    if (found != m_zoneLastHeardAt.end() && found->second >= m_resumedAt) {
+        contact.lastHeardAt = found->second;
+    }
+    return contact;
+}
+
 void peer_roster::expireOwnerCaches(monotonic_time now) const
 {
     if (now - m_ownerCachesClearedAt >= ownerCacheLifetime) {
