Fail readiness checks while no upstream is reachable

The readiness page answers 503 while it is out; packets are forwarded as before. New events rotation_left and rotation_joined with a reason and counter rotation_leaves; figstair explain shows the events.

The packet path has no new code. Not run: a deployment.

--- a/include/figstair/core/flow/entry_core.h
+++ b/include/figstair/core/flow/entry_core.h
@@ -9,6 +9,7 @@
 #include "figstair/core/flow/flow_context.h"
 #include "figstair/core/flow/flow_opener.h"
 #include "figstair/core/health/silence_watch.h"
+#include "figstair/core/view/zone_isolation.h"
 
 namespace figstair {
 
@@ -79,6 +80,11 @@
     /// freeze.
     bool isResuming() const;
 
+    /// Whether readiness checks may pass: this host reaches an upstream, or leaving would have no
+    /// benefit; see zone_isolation. False until a configuration is loaded and the first listing was
+    /// applied.
+    bool isInRotation() const { return m_isolation.isInRotation(); }
+
     /// Returns the report to other hosts that is due now, if any; the next is due at nextReport().
     std::optional<outgoing_report> takeDueReport();
     monotonic_time nextReport() const { return m_reports.nextDeadline(); }
@@ -122,6 +128,7 @@
     bool recordRequest(const flow_packet &packet, flow_record &record);
     void sweepFlows();
     void sweepRoster();
+    void updateRotation();
 
     entry_settings m_settings;
     const clock_source &m_clock;
@@ -137,6 +144,7 @@
     flow_context m_context; ///< refers to the members above
     silence_watch m_silence;
     dead_flow_resetter m_deadFlows;
+    zone_isolation m_isolation;
     flow_opener m_opener;
     monotonic_time m_nextSweep{};
     monotonic_time m_nextRosterSweep{};
--- a/include/figstair/core/flow/entry_output.h
+++ b/include/figstair/core/flow/entry_output.h
@@ -35,6 +35,7 @@
     ejections,
     shortAnswers, ///< so fast and small that they are most likely errors
     freezes,
+    rotationLeaves, ///< this host left the rotation: it reached no upstream
     peerMessagesReceived,
     peerMessagesRejected,
     configsAccepted,
--- a/src/core/flow/entry_core.cpp
+++ b/src/core/flow/entry_core.cpp
@@ -80,6 +80,7 @@
                 m_health,   m_roster, m_reports, m_flows,  m_serviceTimes, clock.monotonic()}
     , m_silence(m_context)
     , m_deadFlows(m_context)
+    , m_isolation(m_routes, m_directory, m_roster, m_loads, m_health)
     , m_opener(m_context, m_silence, m_deadFlows, seed)
 {
     m_directory.setReturnColdTime(settings.heartbeat * returnColdHeartbeats);
@@ -317,6 +318,21 @@
             m_loads.dropReport(name);
         }
     }
+    updateRotation();
+}
+
+void entry_core::updateRotation()
+{
+    if (!m_hasView || !m_routes.isLoaded()) {
+        return;
+    }
+    const auto change = m_isolation.update(m_settings.leaveWhenIsolated, m_clock.monotonic());
+    if (!change) {
+        return;
+    }
+    m_output.count(entry_counter::rotationLeaves, change->isInRotation ? 0 : 1);
+    m_output.logEvent(change->isInRotation ? "rotation_joined" : "rotation_left",
+                      {{"reason", std::string(toText(change->reason))}});
 }
 
 void entry_core::sweepFlows()
@@ -360,6 +376,7 @@
     m_silence.onFreeze();
     m_deadFlows.onFreeze(now);
     m_roster.onResumed(now);
+    m_isolation.onResumed();
     if (gap >= longFreezeThreshold) {
         m_isResuming = true;
         m_resumedAt = now;
@@ -466,7 +483,8 @@
 
 void entry_core::onListing(const std::vector<record_change> &listing, std::uint64_t revision)
 {
-    if (!m_hasView) {
+    const bool isFirst = !m_hasView;
+    if (isFirst) {
         m_hasView = true;
         m_roster.onResumed(m_clock.monotonic());
     }
@@ -483,6 +501,10 @@
         }
     }
     m_roster.retain(listing);
+    if (isFirst) {
+        // Readiness checks may arrive before the next sweep.
+        updateRotation();
+    }
 }
 
 std::vector<record_change> entry_core::snapshot() const
--- a/src/core/flow/entry_output.cpp
+++ b/src/core/flow/entry_output.cpp
@@ -29,6 +29,7 @@
     "ejections",
     "short_answers",
     "freezes",
+    "rotation_leaves",
     "peer_messages_received",
     "peer_messages_rejected",
     "configs_accepted",
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -441,7 +441,8 @@
         if (target != m_adapter.readinessPath()) {
             return status_page{404, "text/plain", "not found\n"};
         }
-        const bool isReady = !m_core->isLeaving() && m_core->hasConfig() && !m_core->isResuming();
+        const bool isReady = !m_core->isLeaving() && m_core->hasConfig() && !m_core->isResuming()
+            && m_core->isInRotation();
         return isReady ? status_page{200, "text/plain", "ready\n"}
                        : status_page{503, "text/plain", "not ready\n"};
     }
--- a/src/host/log_reader.cpp
+++ b/src/host/log_reader.cpp
@@ -88,6 +88,8 @@
                                               "stopped",
                                               "leaving",
                                               "froze",
+                                              "rotation_left",
+                                              "rotation_joined",
                                               "store_lost",
                                               "store_regained",
                                               "store_restored",
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -782,3 +782,65 @@
     }
     CHECK(output.sent.size() <= 11);
 }
+
+// While the zone has no other hosts to go to, the packets of its flows must still be forwarded.
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: evacuated, then partitioned: leaves the rotation, forwards packets, "
+                  "joins again after the partition")
+{
+    REQUIRE(core.isInRotation());
+    const std::uint64_t upstream = establishFlow(1);
+    record_change remote = upstreamChange(9, 101);
+    std::get<upstream_record>(remote.content).zone = "there";
+    core.onRecordChange(remote);
+    peer_report report;
+    report.sender = host_record{"h2", "there", {}, 1};
+    core.onPeerReport(report);
+    record_change evacuation;
+    evacuation.kind = record_kind::evacuation;
+    evacuation.name = "here";
+    evacuation.revision = 102;
+    evacuation.content = zone_evacuation{};
+    core.onRecordChange(evacuation);
+    advanceTime(900);
+    CHECK(core.isInRotation());
+    core.onFreeze(milliseconds(300));
+    advanceTime(250);
+    CHECK(core.isInRotation());
+    advanceTime(250);
+    CHECK_FALSE(core.isInRotation());
+    CHECK(output.counterValue(entry_counter::rotationLeaves) == 1);
+    CHECK(output.events.back() == "rotation_left");
+    const std::size_t sent = output.sent.size();
+    receive(dataPacket(1, upstream, 1));
+    CHECK(output.sent.size() == sent + 1);
+    for (int step = 0; step < 7; ++step) {
+        core.onPeerReport(report);
+        advanceTime(100);
+    }
+    CHECK(core.isInRotation());
+    CHECK(output.events.back() == "rotation_joined");
+    CHECK(output.counterValue(entry_counter::rotationLeaves) == 1);
+}
+
+TEST_CASE("entry_core: no listing yet, or one without a configuration: not in the rotation")
+{
+    fake_clock clock;
+    recording_output output;
+    entry_core core(hostSettings(), clock, 1, output);
+    const auto run = [&] {
+        for (int step = 0; step < 100; ++step) {
+            clock.advance(milliseconds(5));
+            core.tick();
+        }
+    };
+    run();
+    CHECK_FALSE(core.isInRotation());
+    core.onListing({}, 100);
+    run();
+    CHECK_FALSE(core.isInRotation());
+    core.onRecordChange(settled_host::configChange(settled_host::config(1), 101));
+    run();
+    CHECK(core.isInRotation());
+    CHECK(output.counterValue(entry_counter::rotationLeaves) == 0);
+}
