Let a host outside the rotation ignore stray answers

Cause: one to three hosts joined again with the reason "answered": packets of callers that were answered through another zone, or whose routers had not changed yet, passed them. With fewer than half of a zone's hosts in the rotation the routers use all of them, so all callers came back.

Change: answers keep a host in the rotation, and bring none back that has left. The simulation asks the new readiness, and its routers use another zone when none of a zone's hosts is ready.

Result: the new case fails without the change.

--- a/src/core/view/zone_isolation.cpp
+++ b/src/core/view/zone_isolation.cpp
@@ -185,11 +185,12 @@
 }
 
 /// Whether one of m_upstreams recently answered a request through this host, which shows that it is
-/// reachable although no host of its zone is heard. A host that has not yet been in the rotation
-/// has sent none.
+/// reachable although no host of its zone is heard. Keeps a host in the rotation only: to a host
+/// outside it, packets come from callers whose routers have not changed yet, or that were answered
+/// through another zone.
 bool zone_isolation::hasRecentAnswer(monotonic_time now) const
 {
-    if (m_phase == phase::starting || m_phase == phase::held) {
+    if (m_phase != phase::in) {
         return false;
     }
     return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](upstream_index upstream) {
--- a/tests/core/zone_isolation_test.cpp
+++ b/tests/core/zone_isolation_test.cpp
@@ -305,6 +305,24 @@
 }
 
 // Without this, a deployment whose upstreams are in a zone without hosts would lose all its hosts.
+// Guards against one host that joins for a stray answer, while its zone is partitioned: the routers
+// then send all callers of the zone to its hosts again.
+TEST_CASE_FIXTURE(isolated_host,
+                  "zone_isolation: left the rotation, answers through this host: joins only when "
+                  "another zone is heard")
+{
+    const upstream_index upstream = serveFromOtherZone();
+    run(1200, false);
+    REQUIRE_FALSE(isolation.isInRotation());
+    for (int step = 0; step < 20; ++step) {
+        loads.onServed(upstream, 1.0, now);
+        run(100, false);
+    }
+    CHECK_FALSE(isolation.isInRotation());
+    run(700, true);
+    CHECK(isolation.isInRotation());
+}
+
 TEST_CASE_FIXTURE(isolated_host, "zone_isolation: only a zone without hosts has upstreams: stays")
 {
     addUpstream(2, "z9");
--- a/tests/entry/entry_load_test.cpp
+++ b/tests/entry/entry_load_test.cpp
@@ -107,6 +107,28 @@
     CHECK(shareInTarget(world.sum(8, 11)) >= 0.98);
 }
 
+// Guards against hosts that can reach no upstream and stay in the rotation, so that the callers of
+// their zone are served nowhere.
+TEST_CASE("entry load: a zone whose upstreams drain is cut off: 2.5 s later its callers are served "
+          "by another zone")
+{
+    world_plan plan;
+    plan.hostsPerZone = 4;
+    entry_world world(plan);
+    world.at(milliseconds(2000), [&] {
+        for (std::size_t upstream = 5; upstream < 10; ++upstream) {
+            world.drainUpstream(upstream);
+        }
+    });
+    world.at(milliseconds(4500), [&] { world.cutZone(1, true); });
+    world.at(milliseconds(11000), [&] { world.cutZone(1, false); });
+    world.run(milliseconds(17000));
+    const second_result cut = world.sum(7, 11);
+    CHECK(shareInTarget(cut) >= 0.98);
+    CHECK(cut.failed == 0);
+    CHECK(shareInTarget(world.sum(12, 14)) >= 0.98);
+}
+
 TEST_CASE("entry load: twice what upstreams can serve: they stay busy and do not refuse requests")
 {
     world_plan plan;
--- a/tests/entry/entry_world.cpp
+++ b/tests/entry/entry_world.cpp
@@ -305,7 +305,7 @@
     for (const auto &hostState : m_hosts) {
         after(milliseconds(m_random() % 100), [this, index = hostState->index] {
             host &checked = *m_hosts[index];
-            if (checked.core && checked.core->hasConfig()) {
+            if (checked.core && checked.core->hasConfig() && checked.core->isInRotation()) {
                 checked.failedChecks = 0;
                 checked.inRotation = true;
             } else if (++checked.failedChecks >= 2) {
@@ -320,15 +320,19 @@
 {
     std::vector<host *> all;
     std::vector<host *> ready;
+    std::map<unsigned, std::vector<host *>> readyElsewhere; ///< by zone
     for (const auto &hostState : m_hosts) {
         if (hostState->zone == zone) {
             all.push_back(hostState.get());
-            if (hostState->inRotation) {
-                ready.push_back(hostState.get());
-            }
+        }
+        if (hostState->inRotation) {
+            (hostState->zone == zone ? ready : readyElsewhere[hostState->zone])
+                .push_back(hostState.get());
         }
     }
-    const std::vector<host *> &used = ready.size() * 2 < all.size() ? all : ready;
+    const std::vector<host *> &local = ready.size() * 2 < all.size() ? all : ready;
+    const std::vector<host *> &used =
+        ready.empty() && !readyElsewhere.empty() ? readyElsewhere.begin()->second : local;
     return used.empty() ? nullptr : used[hashOf(flow) % used.size()];
 }
 
