Place flows by outstanding work where the work varies

Where request_cost finds that the work of a service's requests differs, the placer compares upstreams by outstanding work per slot, in units of the new request's expected work. Limits and shares stay by count. Key placement.by_work (auto, on, off), log event placement_by_work, fields work_ms and expected_ms of flow_placed, counter flows_placed_by_work. Where the part does not act, choices and random numbers are as before: a test compares runs with the part off and automatic, with equal work, flow by flow.

Measured slowness counts divided by 2.5 where the part acts, since one heavy request raises it by as much.

--- a/include/figstair/core/flow/entry_core.h
+++ b/include/figstair/core/flow/entry_core.h
@@ -123,6 +123,7 @@
     void onHandshakeCompleted(const flow_packet &packet, flow_record &record,
                               upstream_index upstream);
     void adoptFlow(const flow_packet &packet, flow_record &record, upstream_index upstream);
+    void recordWork(const flow_packet &packet, const flow_record &record, milliseconds answerTime);
     void recordAnswer(const flow_packet &packet, flow_record &record);
     /// Returns whether the packet repeats the latest request and acknowledges nothing new.
     bool recordRequest(const flow_packet &packet, flow_record &record);
@@ -141,6 +142,8 @@
     report_exchange m_reports;
     flow_table m_flows;
     service_times m_serviceTimes;
+    request_cost m_costs;
+    outstanding_work m_openWork;
     flow_context m_context; ///< refers to the members above
     silence_watch m_silence;
     dead_flow_resetter m_deadFlows;
--- a/include/figstair/core/flow/entry_output.h
+++ b/include/figstair/core/flow/entry_output.h
@@ -20,6 +20,7 @@
     packetsStale, ///< SYNs dropped after a long freeze
     packetsForwarded, ///< without SYNs
     flowsPlaced, ///< SYNs forwarded, repetitions included
+    flowsPlacedByWork, ///< those whose upstream was chosen by outstanding work
     flowsRepeated, ///< unanswered SYNs sent to a second upstream
     flowsAdopted, ///< flows first seen at this host by a packet with a known tag, not by their SYN
     flowsHeld,
--- a/include/figstair/core/flow/entry_settings.h
+++ b/include/figstair/core/flow/entry_settings.h
@@ -24,6 +24,8 @@
     part_mode resetDeadFlows = part_mode::automatic;
     std::size_t maxFlows = 65536; ///< capacity of the flow table; 100 bytes per flow
     part_mode leaveWhenIsolated = part_mode::automatic; ///< see zone_isolation
+    /// Whether flows are placed by the outstanding work of upstreams; see request_cost.
+    part_mode placementByWork = part_mode::automatic;
 };
 
 } // namespace figstair
--- a/include/figstair/core/flow/flow_context.h
+++ b/include/figstair/core/flow/flow_context.h
@@ -5,6 +5,8 @@
 #include "figstair/core/flow/flow_table.h"
 #include "figstair/core/health/upstream_health.h"
 #include "figstair/core/load/load_board.h"
+#include "figstair/core/load/outstanding_work.h"
+#include "figstair/core/load/request_cost.h"
 #include "figstair/core/load/service_times.h"
 #include "figstair/core/view/peer_roster.h"
 #include "figstair/core/view/report_exchange.h"
@@ -27,6 +29,8 @@
     report_exchange &reports;
     flow_table &flows;
     service_times &serviceTimes;
+    request_cost &costs;
+    outstanding_work &openWork;
     monotonic_time startedAt{}; ///< of this host
 
     std::uint64_t configVersion() const { return routes.config().version; }
@@ -41,6 +45,12 @@
     /// Returns the record of @p flow, inserting one if there is none.
     flow_record &insertFlow(const flow_id &flow) const;
 
+    /// Counts a request of @p flow, which has the record @p record, as open at its upstream.
+    void startAwaitingAnswer(const flow_id &flow, flow_record &record) const;
+
+    /// The unanswered request was sent now, after the flow was placed.
+    void restartRequest(const flow_record &record) const;
+
     /// No longer counts the flow's request as open at its upstream.
     void stopAwaitingAnswer(flow_record &record) const;
 
--- a/include/figstair/core/flow/flow_opener.h
+++ b/include/figstair/core/flow/flow_opener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -57,6 +58,7 @@
 
     placement_result tryPlace(const flow_id &flow, flow_record &record, const route &route,
                               byte_view bytes, place_in_queue place);
+    std::optional<placement_work> workFor(const flow_id &flow, const std::string &service) const;
     static double queueLimitOf(place_in_queue place, const admission_request &request);
     admission_request requestFor(const flow_id &flow, const flow_record &record, const route &route,
                                  const std::string &service) const;
@@ -64,7 +66,7 @@
     void enqueue(const flow_id &flow, flow_record &record, const admission_request &request,
                  const admission_verdict &verdict, std::vector<std::uint8_t> bytes);
     void forward(const flow_id &flow, flow_record &record, byte_view bytes,
-                 const placement_result &choice);
+                 const placement_result &choice, const placement_work *work);
     void refuseOrDrop(const flow_id &flow, flow_record &record, std::string_view reason,
                       const admission_verdict &verdict, bool hasFreeSlot = false);
     bool exceedsCallerShare(const flow_id &flow, const admission_request &request);
--- a/include/figstair/core/flow/flow_placer.h
+++ b/include/figstair/core/flow/flow_placer.h
@@ -7,12 +7,21 @@
 
 #include "figstair/core/health/upstream_health.h"
 #include "figstair/core/load/load_board.h"
+#include "figstair/core/load/outstanding_work.h"
 #include "figstair/core/load/slot_shares.h"
 #include "figstair/core/view/peer_roster.h"
 #include "figstair/core/view/upstream_directory.h"
 
 namespace figstair {
 
+/// Work of the requests to a service, in milliseconds.
+struct placement_work
+{
+    const outstanding_work &outstanding; ///< of this host's open requests
+    double expected = 1; ///< of the new request; above 0
+    double serviceMean = 1; ///< of the open requests of other hosts
+};
+
 /// Properties of a new flow that determine its placement.
 struct placement_request
 {
@@ -28,6 +37,9 @@
     double ownUtilization = 0; ///< open requests of this host per slot of its share, recent mean
     /// Limit of open requests per slot at upstreams outside the share.
     double otherShareLimit = 1.0;
+    /// If set, upstreams are compared by outstanding work instead of open requests. Limits apply to
+    /// open requests all the same.
+    const placement_work *work = nullptr;
 };
 
 enum class placement_outcome : std::uint8_t {
@@ -50,9 +62,9 @@
 };
 
 /// Chooses the upstream of a new flow: the one with the shortest expected time until the flow is
-/// served, by open requests per slot and measured slowness, with a bounded preference for the own
-/// zone. It compares a bounded number of upstreams in each zone, so that the cost does not grow
-/// with their number.
+/// served, by open requests or outstanding work per slot and measured slowness, with a bounded
+/// preference for the own zone. It compares a bounded number of upstreams in each zone, so that the
+/// cost does not grow with their number.
 class flow_placer
 {
 public:
@@ -83,6 +95,9 @@
     void collectHome(const placement_request &request, std::uint16_t ownZone, monotonic_time now);
     double expectedRequestsPerSlot(const placement_candidate &candidate,
                                    const placement_request &request) const;
+    double outstandingPerSlot(const placement_candidate &candidate,
+                              const placement_request &request, double requestsPerSlot,
+                              monotonic_time now) const;
     void evaluate(const placement_candidate &candidate, const placement_request &request,
                   monotonic_time now);
     void evaluateCold(upstream_index upstream, const placement_request &request, bool isLocal,
--- a/include/figstair/core/flow/flow_table.h
+++ b/include/figstair/core/flow/flow_table.h
@@ -7,6 +7,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include "figstair/core/flow/flow_packet.h"
+#include "figstair/core/load/outstanding_work.h"
 #include "figstair/core/view/upstream_directory.h"
 
 namespace figstair {
@@ -53,6 +54,7 @@
     /// with the same addresses and ports.
     std::uint32_t holdNumber = 0;
     float requestsPerSlot = 1.0F; ///< at the upstream when the flow was placed; at least 1
+    work_handle openWork = 0; ///< of the request that awaits its answer
 
     /// Whether @p packet, which is no SYN, continues this flow: its sequence number is near the
     /// last one seen here and, once the flow is open, its acknowledgement number too. Both ends
--- a/src/core/flow/entry_core.cpp
+++ b/src/core/flow/entry_core.cpp
@@ -1,6 +1,8 @@
 #include "figstair/core/flow/entry_core.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -59,6 +61,11 @@
 /// An answer that takes at least this many times the expected time is logged.
 constexpr double slowAnswerLogRatio = 4.0;
 
+/// Answers of an upstream whose slowness ratio before them is at least this do not count for the
+/// work of requests: their time shows the upstream, not the work. Neither do those of requests that
+/// found no free slot: equal work that waits looks like varying work.
+constexpr double maxSlownessForWork = 2.0;
+
 std::string toText(milliseconds value)
 {
     return std::to_string(value.count());
@@ -76,8 +83,11 @@
     , m_roster(settings.self)
     , m_reports(m_directory, m_loads, m_health, m_roster)
     , m_flows(settings.maxFlows)
-    , m_context{m_settings, m_clock,  m_output,  m_routes, m_directory,    m_loads,
-                m_health,   m_roster, m_reports, m_flows,  m_serviceTimes, clock.monotonic()}
+    , m_costs(settings.placementByWork)
+    , m_openWork(m_costs)
+    , m_context{m_settings,     m_clock,  m_output,   m_routes,         m_directory,
+                m_loads,        m_health, m_roster,   m_reports,        m_flows,
+                m_serviceTimes, m_costs,  m_openWork, clock.monotonic()}
     , m_silence(m_context)
     , m_deadFlows(m_context)
     , m_isolation(m_routes, m_directory, m_roster, m_loads, m_health)
@@ -89,6 +99,7 @@
 void entry_core::updateSettings(const entry_settings &settings)
 {
     m_settings = settings;
+    m_costs.setMode(settings.placementByWork);
     m_directory.setReturnColdTime(settings.heartbeat * returnColdHeartbeats);
 }
 
@@ -201,8 +212,7 @@
         m_context.stopAwaitingAnswer(record);
         record.upstream = upstream;
         record.upstreamTag = m_directory.at(upstream).tag;
-        record.awaitsAnswer = true;
-        m_loads.addOpenRequest(upstream);
+        m_context.startAwaitingAnswer(packet.flow, record);
     }
     record.phase = flow_phase::open;
     record.acknowledgedAtRequest = packet.acknowledged;
@@ -225,8 +235,7 @@
     record.requestSentAt = now;
     record.openingSequence = packet.sequence - 1;
     if (!packet.isFin && !packet.isRst) {
-        record.awaitsAnswer = true;
-        m_loads.addOpenRequest(upstream);
+        m_context.startAwaitingAnswer(packet.flow, record);
     }
     m_health.onFlowMoved(upstream, now);
     m_output.count(entry_counter::flowsAdopted, 1);
@@ -244,6 +253,9 @@
     const answer_verdict verdict = m_serviceTimes.onAnswer(
         packet.flow, answerTime, m_context.latencyTargetOf(packet.flow), record.requestsPerSlot,
         packet.acknowledged - record.acknowledgedAtRequest);
+    if (!verdict.isShort) {
+        recordWork(packet, record, answerTime);
+    }
     m_loads.onServed(record.upstream, verdict.isShort ? shortAnswerPenaltyRatio : verdict.ratio,
                      now);
     m_output.observe(entry_distribution::firstAnswer, answerTime);
@@ -264,6 +276,29 @@
     m_context.stopAwaitingAnswer(record);
 }
 
+void entry_core::recordWork(const flow_packet &packet, const flow_record &record,
+                            milliseconds answerTime)
+{
+    const monotonic_time now = m_clock.monotonic();
+    const double requestsPerSlot =
+        m_openWork.requestsPerSlot(record.openWork, record.requestsPerSlot);
+    if (requestsPerSlot > 1 || m_loads.slownessRatio(record.upstream, now) >= maxSlownessForWork) {
+        return;
+    }
+    const auto workMs = static_cast<double>((answerTime - m_serviceTimes.handshakeTime()).count());
+    const auto change = m_costs.onAnswer(
+        routeKeyOf(packet.flow), m_directory.at(record.upstream).entry.service, workMs, now);
+    if (change) {
+        std::array<char, 32> spread{};
+        std::snprintf(spread.data(), spread.size(), "%.2f", change->spread);
+        m_output.logEvent("placement_by_work",
+                          {{"service", std::string(change->service)},
+                           {"acting", change->isActing ? "1" : "0"},
+                           {"reason", std::string(change->reason)},
+                           {"spread", spread.data()}});
+    }
+}
+
 bool entry_core::recordRequest(const flow_packet &packet, flow_record &record)
 {
     if (packet.payloadBytes == 0) {
@@ -283,9 +318,10 @@
     record.lastDataSequence = packet.sequence;
     record.acknowledgedAtRequest = packet.acknowledged;
     record.requestSentAt = now;
-    if (!record.awaitsAnswer && record.phase == flow_phase::open) {
-        record.awaitsAnswer = true;
-        m_loads.addOpenRequest(record.upstream);
+    if (record.awaitsAnswer) {
+        m_context.restartRequest(record);
+    } else if (record.phase == flow_phase::open) {
+        m_context.startAwaitingAnswer(packet.flow, record);
     }
     return false;
 }
@@ -426,6 +462,7 @@
             index != noUpstream && m_directory.at(index).entry.startedAtMs != previousStart;
         if (isNewIncarnation) {
             m_loads.reset(index);
+            m_openWork.reset(index);
             m_health.reset(index);
         }
         m_output.logEvent("upstream_entry",
--- a/src/core/flow/entry_output.cpp
+++ b/src/core/flow/entry_output.cpp
@@ -15,6 +15,7 @@
     "packets_stale",
     "packets_forwarded",
     "flows_placed",
+    "flows_placed_by_work",
     "flows_repeated",
     "flows_adopted",
     "flows_held",
--- a/src/core/flow/flow_context.cpp
+++ b/src/core/flow/flow_context.cpp
@@ -34,11 +34,31 @@
     return flows.insert(flow, [this](flow_record &evicted) { stopAwaitingAnswer(evicted); });
 }
 
+void flow_context::startAwaitingAnswer(const flow_id &flow, flow_record &record) const
+{
+    record.awaitsAnswer = true;
+    loads.addOpenRequest(record.upstream);
+    const monotonic_time now = clock.monotonic();
+    const upstream_record &upstream = directory.at(record.upstream).entry;
+    openWork.remove(record.upstream, record.openWork);
+    record.openWork =
+        openWork.add(record.upstream, costs.classOf(routeKeyOf(flow), upstream.service, now),
+                     double(loads.openRequests(record.upstream)) / upstream.slots,
+                     now + serviceTimes.handshakeTime());
+}
+
+void flow_context::restartRequest(const flow_record &record) const
+{
+    openWork.restart(record.openWork, clock.monotonic() + serviceTimes.handshakeTime());
+}
+
 void flow_context::stopAwaitingAnswer(flow_record &record) const
 {
     if (record.awaitsAnswer) {
         record.awaitsAnswer = false;
         loads.removeOpenRequest(record.upstream);
+        openWork.remove(record.upstream, record.openWork);
+        record.openWork = 0;
     }
 }
 
--- a/src/core/flow/flow_opener.cpp
+++ b/src/core/flow/flow_opener.cpp
@@ -127,6 +127,18 @@
                              m_context.serviceTimes.handshakeTime()};
 }
 
+std::optional<placement_work> flow_opener::workFor(const flow_id &flow,
+                                                   const std::string &service) const
+{
+    const work_class requests =
+        m_context.costs.classOf(routeKeyOf(flow), service, m_context.clock.monotonic());
+    if (!m_context.costs.actsOn(requests)) {
+        return std::nullopt;
+    }
+    return placement_work{m_context.openWork, std::max(1.0, m_context.costs.expected(requests)),
+                          m_context.costs.serviceMean(requests)};
+}
+
 placement_result flow_opener::tryPlace(const flow_id &flow, flow_record &record, const route &route,
                                        byte_view bytes, place_in_queue place)
 {
@@ -140,15 +152,19 @@
     const bool areSharesFair = m_context.isRotationStable();
     const bool isShareFull = areSharesFair && share.slots > 0
         && m_context.loads.ownOpenRequestsOf(service) + 1 > std::max(1.0, share.slots * queueLimit);
+    const std::optional<placement_work> work = workFor(flow, service);
+    const placement_work *const usedWork = work ? &*work : nullptr;
     const placement_result choice = m_placer.choose(
         placement_request{service, coldFlowsPerSecond(service),
                           isShareFull ? std::min(freeLimit, queueLimit) : queueLimit,
                           record.previousUpstream, request.answerTime, &share,
                           updateUtilization(service, share),
-                          areSharesFair ? std::min(freeLimit, queueLimit) : queueLimit},
+                          areSharesFair ? std::min(freeLimit, queueLimit) : queueLimit, usedWork},
         now);
     if (choice.outcome == placement_outcome::placed) {
-        forward(flow, record, bytes, choice);
+        forward(flow, record, bytes, choice, usedWork);
+    } else if (choice.outcome == placement_outcome::saturated) {
+        m_context.costs.onSaturated(m_context.costs.classOf(routeKeyOf(flow), service, now), now);
     }
     return choice;
 }
@@ -244,11 +260,12 @@
 }
 
 void flow_opener::forward(const flow_id &flow, flow_record &record, byte_view bytes,
-                          const placement_result &choice)
+                          const placement_result &choice, const placement_work *work)
 {
     const monotonic_time now = m_context.clock.monotonic();
     const known_upstream &upstream = m_context.directory.at(choice.upstream);
     const unsigned open = m_context.loads.openRequests(choice.upstream);
+    const double workMs = work == nullptr ? 0 : work->outstanding.of(choice.upstream, now);
     record.phase = flow_phase::opening;
     record.wasForwarded = true;
     record.upstream = choice.upstream;
@@ -256,28 +273,39 @@
     record.openingSentAt = now;
     record.requestSentAt = now;
     record.lastPacketAt = now;
-    record.awaitsAnswer = true;
     record.requestsPerSlot =
         std::max(1.0F, static_cast<float>(open + 1) / static_cast<float>(upstream.entry.slots));
-    m_context.loads.addOpenRequest(choice.upstream);
+    m_context.startAwaitingAnswer(flow, record);
     m_silence.expectAnswer(flow, bytes);
     m_context.output.count(entry_counter::flowsPlaced, 1);
     if (choice.reason != "least_load") {
         m_context.output.count(
             choice.reason == "trial" ? entry_counter::trialsSent : entry_counter::coldFlowsSent, 1);
     }
-    m_context.output.logEvent(
-        "flow_placed",
-        {{"flow", toText(flow)},
-         {"upstream", toHex(upstream.entry.id)},
-         {"zone", upstream.entry.zone},
-         {"reason", std::string(choice.reason)},
-         {"open", std::to_string(open)},
-         {"own_open", std::to_string(m_context.loads.ownOpenRequests(choice.upstream))},
-         {"copy", record.openingsSeen > 1 ? "1" : "0"},
-         {"repeat", record.wasRetried ? "1" : "0"},
-         {"entry_revision", std::to_string(upstream.revision)},
-         {"config", std::to_string(m_context.configVersion())}});
+    const auto logPlaced = [&](const auto &...workFields) {
+        m_context.output.logEvent(
+            "flow_placed",
+            {{"flow", toText(flow)},
+             {"upstream", toHex(upstream.entry.id)},
+             {"zone", upstream.entry.zone},
+             {"reason", std::string(choice.reason)},
+             {"open", std::to_string(open)},
+             {"own_open", std::to_string(m_context.loads.ownOpenRequests(choice.upstream))},
+             {"copy", record.openingsSeen > 1 ? "1" : "0"},
+             {"repeat", record.wasRetried ? "1" : "0"},
+             {"entry_revision", std::to_string(upstream.revision)},
+             {"config", std::to_string(m_context.configVersion())},
+             workFields...});
+    };
+    if (work == nullptr) {
+        logPlaced();
+    } else {
+        using event_field = event_fields::value_type;
+        logPlaced(event_field{"work_ms", std::to_string(std::lround(workMs))},
+                  event_field{"expected_ms", std::to_string(std::lround(work->expected))});
+        m_context.output.count(entry_counter::flowsPlacedByWork,
+                               choice.reason == "least_load" ? 1 : 0);
+    }
     m_context.output.forward(bytes, upstream);
 }
 
--- a/src/core/flow/flow_placer.cpp
+++ b/src/core/flow/flow_placer.cpp
@@ -24,10 +24,15 @@
 /// Cost of an upstream in a zone none of whose hosts can be reached.
 constexpr double unreachableZoneCost = 40.0;
 
-/// Cost of each open request per slot, in units of one request's time. It makes the less loaded of
-/// two upstreams with a free slot preferred.
+/// Cost of each open request, or of as much work, per slot, in units of one request's time. It
+/// makes the less loaded of two upstreams with a free slot preferred.
 constexpr double requestsPerSlotCost = 0.3;
 
+/// Where the work of requests varies, an upstream with a measured slowness below this is most
+/// likely not slow: one heavy request, or a short one behind it, raises the measured slowness by as
+/// much.
+constexpr double slownessOfWork = 2.5;
+
 /// Window over which the flows sent to a cold upstream are counted.
 constexpr milliseconds coldRateWindow{1000};
 
@@ -60,6 +65,23 @@
     return own + expectedPeers + m_peerDifferenceWeight * (peers - expectedPeers);
 }
 
+/// What decides between upstreams, in units of the new request: open requests per slot, or
+/// outstanding work per slot.
+double flow_placer::outstandingPerSlot(const placement_candidate &candidate,
+                                       const placement_request &request, double requestsPerSlot,
+                                       monotonic_time now) const
+{
+    if (request.work == nullptr) {
+        return requestsPerSlot;
+    }
+    const double slots = m_directory.at(candidate.upstream).entry.slots;
+    const double peerRequests =
+        std::max(0.0, requestsPerSlot - m_loads.ownOpenRequests(candidate.upstream) / slots);
+    return (request.work->outstanding.of(candidate.upstream, now) / slots
+            + peerRequests * request.work->serviceMean)
+        / request.work->expected;
+}
+
 void flow_placer::evaluate(const placement_candidate &candidate, const placement_request &request,
                            monotonic_time now)
 {
@@ -92,8 +114,12 @@
         m_hasFreeSlot = m_hasFreeSlot || hasFreeSlot(upstream);
         return;
     }
-    double cost = m_loads.slownessRatio(upstream, now) * std::max(1.0, requestsPerSlotWithFlow)
-        + requestsPerSlotCost * requestsPerSlot;
+    const double outstanding = outstandingPerSlot(candidate, request, requestsPerSlot, now);
+    const double slowness = m_loads.slownessRatio(upstream, now);
+    const double countedSlowness =
+        request.work == nullptr ? slowness : std::max(1.0, slowness / slownessOfWork);
+    double cost = countedSlowness * std::max(1.0, outstanding + 1.0 / known.entry.slots)
+        + requestsPerSlotCost * outstanding;
     cost += candidate.isLocal ? 0.0 : otherZoneCost;
     cost += isHome || !isShared
         ? 0.0
--- a/src/host/entry_process_settings.cpp
+++ b/src/host/entry_process_settings.cpp
@@ -123,6 +123,8 @@
          }},
         {"upstreams", "reset_dead_flows", false, modeText,
          [&s](const std::string &v) { return readPartMode(v, s.core.resetDeadFlows); }},
+        {"placement", "by_work", false, modeText,
+         [&s](const std::string &v) { return readPartMode(v, s.core.placementByWork); }},
     };
 }
 
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
 
 #include <doctest/doctest.h>
 
@@ -843,4 +844,119 @@
     run();
     CHECK(core.isInRotation());
     CHECK(output.counterValue(entry_counter::rotationLeaves) == 0);
+
+namespace {
+
+/// A host that serves one request after the other.
+struct serving_host : settled_host
+{
+    void serve(unsigned count, std::int64_t workMs, unsigned heavyEvery, std::int64_t heavyMs)
+    {
+        for (unsigned number = 1; number <= count; ++number) {
+            ++port;
+            flow_packet packet = subsequentPacket(port, establishFlow(port));
+            packet.payloadBytes = 100;
+            receive(packet);
+            advanceTime(heavyEvery > 0 && number % heavyEvery == 0 ? heavyMs : workMs);
+            packet.sequence += 100;
+            packet.payloadBytes = 0;
+            packet.acknowledged = 1000;
+            packet.isFin = true;
+            receive(packet);
+        }
+    }
+    /// Random requests for 10 s, each answered 25 to 75 ms after its SYN was forwarded.
+    void serveAtRandom(std::uint64_t seed, std::uint64_t openedOfTen)
+    {
+        std::mt19937_64 random(seed);
+        std::vector<std::pair<monotonic_time, flow_packet>> answers;
+        std::array<std::uint16_t, 256> portsByMark{};
+        std::size_t seen = output.sent.size();
+        for (unsigned step = 0; step < 2000; ++step) {
+            advanceTime(5);
+            while (random() % 10 < openedOfTen) {
+                flow_packet packet = packetOf(++port);
+                packet.isSyn = true;
+                const auto mark = static_cast<std::uint8_t>(1 + port % 255);
+                portsByMark.at(mark) = port;
+                receive(packet, mark);
+            }
+            for (; seen < output.sent.size(); ++seen) {
+                const recording_output::forwarded sent = output.sent[seen];
+                if (sent.mark == 0) {
+                    continue; // no SYN
+                }
+                flow_packet packet = subsequentPacket(portsByMark.at(sent.mark), sent.upstream);
+                packet.payloadBytes = 100;
+                receive(packet, 0);
+                packet.sequence += 100;
+                packet.payloadBytes = 0;
+                packet.acknowledged = 1000;
+                packet.isFin = true;
+                answers.emplace_back(clock.monotonic() + milliseconds(25 + random() % 50), packet);
+            }
+            for (std::size_t index = answers.size(); index-- > 0;) {
+                if (answers[index].first <= clock.monotonic()) {
+                    receive(answers[index].second, 0);
+                    answers[index] = answers.back();
+                    answers.pop_back();
+                }
+            }
+        }
+    }
+    std::size_t changes() const
+    {
+        return std::size_t(
+            std::count(output.events.begin(), output.events.end(), "placement_by_work"));
+    }
+
+    std::uint16_t port = 1;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(serving_host,
+                  "entry_core: every twentieth request takes 7 times as long: flows are placed by "
+                  "work, once that is known, and it is logged once")
+{
+    serve(40, 50, 20, 350);
+    CHECK(output.counterValue(entry_counter::flowsPlacedByWork) == 0);
+    serve(600, 50, 20, 350);
+    CHECK(changes() == 1);
+    const std::uint64_t placed = output.counterValue(entry_counter::flowsPlacedByWork);
+    CHECK(placed > 0);
+    entry_settings settings = hostSettings();
+    settings.placementByWork = part_mode::off;
+    core.updateSettings(settings);
+    serve(20, 50, 0, 0);
+    CHECK(output.counterValue(entry_counter::flowsPlacedByWork) == placed);
+    CHECK(changes() == 2);
+}
+
+TEST_CASE_FIXTURE(serving_host,
+                  "entry_core: equal work: flows are placed by count, nothing is logged")
+{
+    serve(600, 50, 0, 0);
+    CHECK(output.counterValue(entry_counter::flowsPlacedByWork) == 0);
+    CHECK(changes() == 0);
+}
+
+TEST_CASE("entry_core: equal work, at any load: with placement by work off and automatic, the same "
+          "packets go to the same upstreams")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        std::array<serving_host, 2> hosts; // off, automatic
+        entry_settings settings = hostSettings();
+        settings.placementByWork = part_mode::off;
+        hosts[0].core.updateSettings(settings);
+        for (serving_host &host : hosts) {
+            host.serveAtRandom(seed, 2 + 2 * (seed % 3));
+        }
+        CHECK(hosts[0].output.sent.size() > 1000);
+        CHECK(std::equal(hosts[0].output.sent.begin(), hosts[0].output.sent.end(),
+                         hosts[1].output.sent.begin(), hosts[1].output.sent.end(),
+                         [](const auto &a, const auto &b) { return a.upstream == b.upstream; }));
+        CHECK(hosts[0].output.events == hosts[1].output.events);
+        CHECK(hosts[0].output.counts == hosts[1].output.counts);
+    }
 }
--- a/tests/core/flow_placer_test.cpp
+++ b/tests/core/flow_placer_test.cpp
@@ -346,3 +346,88 @@
         CHECK(idOf(chooseShared().upstream) != 1);
     }
 }
+
+namespace {
+
+/// Open requests of a long route (80 ms) and a short one (10 ms) at the upstreams of the own zone.
+struct unequal_work : two_zones
+{
+    unequal_work()
+    {
+        for (int step = 0; step < 100; ++step) {
+            const monotonic_time then = now - milliseconds(20000) + milliseconds(200) * step;
+            costs.onAnswer(1, service, 80, then);
+            costs.onAnswer(2, service, 10, then);
+        }
+    }
+    void addRequest(std::uint64_t id, route_key route)
+    {
+        addOpenRequests(id, 1);
+        work.add(indexOf(id), costs.classOf(route, service, now), 1, now);
+    }
+    std::uint64_t chooseByWork(double expectedMs, double queueLimit = 2.0)
+    {
+        const placement_work estimate{work, expectedMs, 45};
+        placement_request request{service, 2, queueLimit, noUpstream};
+        request.work = &estimate;
+        const placement_result result = placer.choose(request, now);
+        return result.outcome == placement_outcome::placed ? idOf(result.upstream) : 0;
+    }
+
+    request_cost costs{part_mode::automatic};
+    outstanding_work work{costs};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(unequal_work,
+                  "flow_placer: two short requests at one upstream, a long one at the others: by "
+                  "work the first is chosen, by count another")
+{
+    addRequest(1, 2);
+    addRequest(1, 2);
+    for (std::uint64_t id = 2; id <= 6; ++id) {
+        addRequest(id, 1);
+    }
+    for (int step = 0; step < 20; ++step) {
+        CHECK(chooseByWork(45) == 1);
+        CHECK(idOf(choose().upstream) != 1);
+    }
+}
+
+TEST_CASE_FIXTURE(unequal_work,
+                  "flow_placer: requests of other hosts: count as the mean work of the service")
+{
+    add(4, "here", milliseconds(0));
+    addRequest(1, 2);
+    for (std::uint64_t id = 2; id <= 3; ++id) {
+        addRequest(id, 1);
+    }
+    loads.setReport("h2", std::vector<load_row>{load_row{upstreamTag(4), 1, 0, false}}, now);
+    CHECK(chooseByWork(45) == 1);
+    addRequest(1, 1);
+    CHECK(chooseByWork(45) == 4);
+}
+
+TEST_CASE_FIXTURE(unequal_work,
+                  "flow_placer: upstreams are full by count: placement by work exceeds no limit")
+{
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        for (int step = 0; step < 3; ++step) {
+            addRequest(id, 2);
+        }
+    }
+    CHECK(chooseByWork(80, 1.5) == 0);
+    CHECK(chooseByWork(80, 2.0) != 0);
+}
+
+TEST_CASE_FIXTURE(unequal_work,
+                  "flow_placer: a measured slow upstream: avoided when flows are placed by work")
+{
+    for (int sample = 0; sample < 5; ++sample) {
+        loads.onServed(indexOf(1), 8.0, now);
+    }
+    for (int step = 0; step < 20; ++step) {
+        CHECK(chooseByWork(45) != 1);
+    }
+}
--- a/tests/entry/entry_world.cpp
+++ b/tests/entry/entry_world.cpp
@@ -235,6 +235,7 @@
     ++hostState.incarnation;
     entry_settings settings;
     settings.self = hostRecordOf(index);
+    settings.placementByWork = m_plan.placementByWork;
     hostState.core =
         std::make_unique<entry_core>(settings, m_clock, m_plan.seed * 100 + index, hostState);
     const std::uint64_t incarnation = hostState.incarnation;
@@ -375,6 +376,11 @@
     const milliseconds meanWork = m_plan.classes[next->kind].workTime;
     next->work = milliseconds(
         static_cast<std::int64_t>(double(meanWork.count()) * (0.5 + uniform(m_random))));
+    const request_class &kind = m_plan.classes[next->kind];
+    if (kind.tailShare > 0 && uniform(m_random) < kind.tailShare) {
+        next->work =
+            milliseconds(static_cast<std::int64_t>(double(next->work.count()) * kind.tailFactor));
+    }
     next->sentAt = m_clock.monotonic();
     m_arrivals.push_back(world_arrival{sinceStart(), next->kind, next->work});
     request &added = *next;
@@ -980,7 +986,8 @@
     double meanWork = 0;
     double shares = 0;
     for (const request_class &kind : m_plan.classes) {
-        meanWork += kind.share * double(kind.workTime.count());
+        meanWork += kind.share * double(kind.workTime.count())
+            * (1 + kind.tailShare * (kind.tailFactor - 1));
         shares += kind.share;
     }
     return double(m_plan.slots * m_upstreams.size()) * 1000.0 * shares / meanWork;
--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -41,6 +41,8 @@
     unsigned requestsPerFlow = 1;
     milliseconds pauseBetweenRequests{0}; ///< at least, on one flow after an answer
     bool isSafe = true; ///< retried after a failure of an open flow
+    double tailShare = 0; ///< share of the requests that take tailFactor times as long
+    double tailFactor = 1;
 };
 
 /// Parameters of a simulated deployment. All times are simulated, not measured.
@@ -61,6 +63,7 @@
     unsigned callersPerZone = 40;
     std::vector<double> zoneDemand; ///< shares of the requests by zone; if empty, all the same
     double greedyShare = 0; ///< share of the requests that one caller of each zone sends
+    part_mode placementByWork = part_mode::automatic;
     milliseconds reportDelay{0}; ///< added to the time that reports between hosts take
 };
 
--- a/tests/entry/overload_test.cpp
+++ b/tests/entry/overload_test.cpp
@@ -257,3 +257,49 @@
         CHECK(played.world.countOf(entry_counter::flowsRefusedWithFreeSlot) == 0);
     }
 }
+
+TEST_CASE("overload: equal work: with placement by work off and automatic, each upstream starts as "
+          "many requests in each second")
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+        for (const double factor : {1.0, 2.0, 8.0}) {
+            world_plan plan;
+            plan.seed = seed;
+            plan.slots = 1 + seed;
+            std::vector<unsigned> started[2];
+            second_result results[2];
+            for (const part_mode mode : {part_mode::off, part_mode::automatic}) {
+                plan.placementByWork = mode;
+                entry_world world(plan);
+                world.at(milliseconds(2000), [&] { world.setLoad(factor); });
+                world.at(milliseconds(4000), [&] { world.setLoad(1); });
+                world.run(milliseconds(7000));
+                const auto index = mode == part_mode::off ? 0 : 1;
+                for (std::size_t upstream = 0; upstream < world.upstreamCount(); ++upstream) {
+                    for (std::size_t second = 0; second < 7; ++second) {
+                        started[index].push_back(world.requestsStarted(upstream, second));
+                    }
+                }
+                results[index] = world.sum(0, 7);
+                CHECK(world.countOf(entry_counter::flowsPlacedByWork) == 0);
+            }
+            CHECK(started[0] == started[1]);
+            CHECK(results[0].inTarget == results[1].inTarget);
+            CHECK(results[0].usefulWork == results[1].usefulWork);
+        }
+    }
+}
+
+TEST_CASE("overload: two routes of very different work at one service: flows are placed by work")
+{
+    world_plan plan;
+    plan.slots = 2;
+    plan.requestsPerSecond = 500;
+    plan.classes = {request_class{0.5, milliseconds(55), milliseconds(400)},
+                    request_class{0.5, milliseconds(5), milliseconds(100)}};
+    entry_world world(plan);
+    world.run(milliseconds(6000));
+    CHECK(world.countOf(entry_counter::flowsPlacedByWork)
+          > world.countOf(entry_counter::flowsPlaced) / 2);
+    CHECK(world.sum(0, 5).inTarget > world.sum(0, 5).sent * 0.99);
+}
--- a/tests/host/entry_settings_test.cpp
+++ b/tests/host/entry_settings_test.cpp
@@ -38,6 +38,20 @@
     CHECK(settings.metricsListen.port != 0);
 }
 
+TEST_CASE("entry settings: placement by work: auto by default, on, off, and nothing else")
+{
+    const auto modeOf = [](const std::string &text) {
+        return valueOf([&] { return parseEntrySettings("e.ini", validSettings + text); })
+            .core.placementByWork;
+    };
+    CHECK(modeOf("") == part_mode::automatic);
+    CHECK(modeOf("[placement]\nby_work = auto\n") == part_mode::automatic);
+    CHECK(modeOf("[placement]\nby_work = on\n") == part_mode::on);
+    CHECK(modeOf("[placement]\nby_work = off\n") == part_mode::off);
+    CHECK(errorText(validSettings + "[placement]\nby_work = yes\n")
+          == "e.ini:17: key 'placement.by_work' value 'yes': expected auto, on or off");
+}
+
 TEST_CASE("entry settings: empty optional values and unknown keys: accepted")
 {
     CHECK(errorText(replaced(validSettings, "grace_s = 6", "grace_s = ")) == "no error");
