--- a/bench/entry_bench.cpp
+++ b/bench/entry_bench.cpp
@@ -53,7 +53,9 @@
 /// A host with 13 routes and a given number of upstreams.
 struct loaded_host
 {
-    explicit loaded_host(std::size_t upstreams, unsigned slots = 4)
+    explicit loaded_host(std::size_t upstreams, unsigned slots = 4,
+                         part_mode placementByWork = part_mode::automatic)
+        : core(settings(placementByWork), clock, 1, output)
     {
         std::vector<record_change> listing;
         record_change change;
@@ -71,17 +73,18 @@
         core.onListing(listing, 2);
     }
 
-    static entry_settings settings()
+    static entry_settings settings(part_mode placementByWork)
     {
         entry_settings result;
         result.self = host_record{"h", "zone-0", {}, 1, 100};
         result.maxFlows = std::size_t{1} << 20U;
+        result.placementByWork = placementByWork;
         return result;
     }
 
     fake_clock clock;
     encoding_output output;
-    entry_core core{settings(), clock, 1, output};
+    entry_core core;
 };
 
 std::array<std::uint8_t, 31> packetBytes(std::uint8_t flags, std::uint16_t port, std::uint32_t tag,
@@ -149,6 +152,52 @@
     }
 }
 
+/// A request from its SYN to its answer while each upstream has two other open requests, with
+/// placement by work off (0) or on (1).
+void requestServed(benchmark::State &state)
+{
+    const auto upstreams = static_cast<std::uint32_t>(state.range(0));
+    loaded_host host(upstreams, 4, state.range(1) == 0 ? part_mode::off : part_mode::on);
+    const std::array<std::uint8_t, 31> bytes{};
+    std::uint32_t number = 0;
+    const auto openNext = [&] {
+        ++number;
+        flow_packet packet;
+        packet.flow = flow_id{callerAddress + (number >> 15U), routeAddress,
+                              static_cast<std::uint16_t>(number & 0x7FFFU), routePort};
+        packet.isSyn = true;
+        host.core.onPacket(packet, bytes);
+        packet.isSyn = false;
+        packet.sequence = 1;
+        packet.acknowledged = 1;
+        packet.isAck = true;
+        packet.payloadBytes = 100;
+        packet.upstreamTag = upstreamTag(1 + number % upstreams);
+        host.core.onPacket(packet, bytes);
+        return packet;
+    };
+    const auto answer = [&](flow_packet packet) {
+        packet.sequence = 101;
+        packet.acknowledged = 1000;
+        packet.payloadBytes = 0;
+        packet.isFin = true;
+        host.core.onPacket(packet, bytes);
+    };
+    for (unsigned step = 0; step < 200; ++step) {
+        const flow_packet request = openNext();
+        host.clock.advance(milliseconds(20));
+        answer(request);
+    }
+    for (std::uint32_t step = 0; step < 2 * upstreams; ++step) {
+        openNext();
+    }
+    for (auto step : state) {
+        (void)step;
+        host.clock.advance(milliseconds(1));
+        answer(openNext());
+    }
+}
+
 /// A new flow while all upstreams are full, each of another caller.
 void flowRefused(benchmark::State &state)
 {
@@ -206,6 +255,7 @@
 BENCHMARK(bareForwarding);
 BENCHMARK(packetOfOpenFlow)->Arg(15)->Arg(150)->Arg(73000);
 BENCHMARK(flowPlacedAndEnded)->Arg(15)->Arg(150)->Arg(73000);
+BENCHMARK(requestServed)->ArgsProduct({{15, 150}, {0, 1}});
 BENCHMARK(flowRefused)->Arg(15)->Arg(300)->Arg(73000);
 BENCHMARK(configApplied)->Arg(170)->Arg(1700)->Arg(17000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(patchApplied)->Arg(170)->Arg(1700)->Arg(17000)->Unit(benchmark::kMicrosecond);
