--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -844,6 +844,8 @@
     run();
     CHECK(core.isInRotation());
     CHECK(output.counterValue(entry_counter::rotationLeaves) == 0);
+}
+
 
 namespace {
 
