Report the ejections that a new owner follows

Cause: in a small fleet, a host that had taken over the owner's ejection left it out of its reports also after it became the owner itself, as when the owner is restarted. Other hosts clear what an owner does not report, so they sent flows to the upstream again although nothing had answered.

Change: an owner reports all upstreams that it ejects.

Result: the new test fails without the change; the tests "report_exchange*" pass.

--- a/src/core/view/report_exchange.cpp
+++ b/src/core/view/report_exchange.cpp
@@ -151,7 +151,11 @@
     for (load_row &row : report.rows) {
         const upstream_index upstream = m_directory.findTag(row.tag);
         if (upstream != noUpstream) {
-            row.isEjected = m_health.isEjected(upstream) && !m_health.isFollowingOwner(upstream);
+            // Other hosts clear what its owner does not report, so an owner reports all.
+            const upstream_record &entry = m_directory.at(upstream).entry;
+            row.isEjected = m_health.isEjected(upstream)
+                && (!m_health.isFollowingOwner(upstream)
+                    || m_roster.owns(entry.id, entry.zone, now));
             row.hasAnswered = m_health.lastLocalAnswerTime(upstream) > m_lastReportAt;
             row.isSuspected = m_health.isLocallySuspected(upstream, now);
         }
--- a/tests/core/report_exchange_test.cpp
+++ b/tests/core/report_exchange_test.cpp
@@ -248,6 +248,31 @@
     CHECK(isReported());
 }
 
+// Guards against a new owner that does not report an ejection which it took over from the owner
+// before: all other hosts would end theirs and send flows to a dead upstream.
+TEST_CASE_FIXTURE(small_fleet,
+                  "report_exchange: an ejection that follows the owner's, this host becomes the "
+                  "owner: reported")
+{
+    const auto isReported = [&](std::uint64_t id) {
+        bool isEjected = false;
+        for (const outgoing_report &sent : run(milliseconds(150))) {
+            for (const load_row &row : sent.report.rows) {
+                isEjected = isEjected || (row.tag == upstreamTag(id) && row.isEjected);
+            }
+        }
+        return isEjected;
+    };
+    std::vector<load_row> rows;
+    const std::vector<std::uint64_t> ids = ownedBy("h2");
+    for (const std::uint64_t id : ids) {
+        rows.push_back(load_row{upstreamTag(id), 0, 0, true});
+    }
+    receiveReport(2, rows);
+    now += milliseconds(500); // all other hosts are silent, so this one owns all
+    CHECK(isReported(ids.front()));
+}
+
 // Guards against the full load on a returned upstream at a host that became its owner by its start.
 TEST_CASE_FIXTURE(
     small_fleet,
