Simulate when hosts find their sockets empty

Cause: the simulation told each host right before a packet that its socket was empty. Real hosts learn it after they have read a packet, so the simulation counted repeated requests as evidence that a host with little traffic ignores.

Change: the host learns it after each packet.

--- a/tests/entry/entry_world.cpp
+++ b/tests/entry/entry_world.cpp
@@ -348,8 +348,8 @@
         }
         std::vector<std::uint8_t> bytes(sizeof packet);
         std::memcpy(bytes.data(), &packet, sizeof packet);
-        to->core->onInputDrained();
         to->core->onPacket(packet, bytes);
+        to->core->onInputDrained();
     });
 }
 
