Reset no flow on outdated evidence

Cause: evidence against an upstream could outlive what it says, so open flows of upstreams that are alive and undisturbed could be reset: - A restart kept the evidence where this host had no record of the upstream. - A verdict ended only with an answer known here. After a freeze of this host, or in a large fleet, none may be.

Change: each of these ends or is ignored. A verdict ends 2 s after the last evidence. The clock and the counts of the route are read only if a request is repeated or there is any evidence.

--- a/include/figstair/core/health/dead_upstreams.h
+++ b/include/figstair/core/health/dead_upstreams.h
@@ -35,10 +35,17 @@
     /// Forgets the evidence: the upstream restarted, or its index now names another one.
     void reset(upstream_index upstream) { m_records.erase(upstream); }
 
+    /// Forgets all evidence: answers may have been missed.
+    void clear() { m_records.clear(); }
+
     /// Removes evidence that is too old to matter, and returns the upstreams that count as dead
     /// since the last call.
     std::vector<upstream_index> advance(monotonic_time now);
 
+    /// Ends the verdict on upstreams that left no data unacknowledged since @p before. Their
+    /// evidence stays, and several hosts have to agree again.
+    void endVerdicts(monotonic_time before);
+
     /// Whether another host than @p self has evidence against the upstream since its last answer.
     bool hasPeerEvidence(upstream_index upstream, std::uint64_t self, monotonic_time now) const;
 
@@ -46,7 +53,7 @@
     bool hasUnacknowledged(upstream_index upstream) const;
 
     /// Whether several hosts agreed, at the last advance(), for long enough that the upstream
-    /// acknowledges nothing. Stays true until it answers or restarts.
+    /// acknowledges nothing. Stays true until it answers or restarts, or until endVerdicts().
     bool isDead(upstream_index upstream) const;
 
     /// Upstreams that @p witness saw leave data unacknowledged at or after @p since, with no answer
--- a/include/figstair/core/view/upstream_directory.h
+++ b/include/figstair/core/view/upstream_directory.h
@@ -33,6 +33,8 @@
     monotonic_time coldUntil{};
     monotonic_time unlistedAt{};
     bool isLapsing = false;
+    /// Unlisted by an outage of the store, which does not mean that it stopped.
+    bool hasLapsed = false;
     /// The last change is from before the store was restored from an older copy.
     bool isFromEarlierEpoch = false;
 };
--- a/src/core/flow/dead_flow_resetter.cpp
+++ b/src/core/flow/dead_flow_resetter.cpp
@@ -15,6 +15,17 @@
 /// Repeated requests prove nothing for this long after a freeze of the process.
 constexpr milliseconds graceAfterFreeze{400};
 
+/// A verdict holds this long after the last evidence, which other hosts report for one second after
+/// they saw it: an upstream that recovered more than 4 s ago counts as undisturbed, and in a large
+/// fleet a host of another zone may learn of few of its answers.
+constexpr milliseconds verdictLifetime{2000};
+
+/// Whether the upstream's entry was removed, and not only lost in an outage of the store.
+bool isEntryGone(const known_upstream &upstream)
+{
+    return !upstream.isListed && !upstream.hasLapsed;
+}
+
 } // namespace
 
 dead_flow_resetter::dead_flow_resetter(const flow_context &context)
@@ -26,6 +37,7 @@
 void dead_flow_resetter::onFreeze(monotonic_time now)
 {
     m_ignoreUntil = now + graceAfterFreeze;
+    m_context.health.deadUpstreams().clear();
 }
 
 bool dead_flow_resetter::isEnabledFor(const flow_id &flow) const
@@ -49,7 +61,7 @@
     if (m_context.health.deadUpstreams().hasPeerEvidence(upstream, m_ownWitness, now)) {
         return "other_hosts";
     }
-    if (!known.isListed) {
+    if (isEntryGone(known)) {
         return "entry_gone";
     }
     if (!m_context.roster.isZoneReachable(known.entry.zone, now)) {
@@ -62,7 +74,7 @@
 {
     const dead_upstreams &evidence = m_context.health.deadUpstreams();
     return evidence.isDead(upstream)
-        || (evidence.hasUnacknowledged(upstream) && !m_context.directory.at(upstream).isListed);
+        || (evidence.hasUnacknowledged(upstream) && isEntryGone(m_context.directory.at(upstream)));
 }
 
 /// Whether another upstream of the service may take new flows, by what this host knows.
@@ -88,12 +100,14 @@
 
 bool dead_flow_resetter::onPacket(const flow_packet &packet, flow_record &record, bool isRepeated)
 {
+    const bool isEvidenceKnown = m_context.health.deadUpstreams().size() > 0;
+    if ((!isRepeated && !isEvidenceKnown) || packet.isFin || packet.isRst
+        || !isEnabledFor(packet.flow)) {
+        return false;
+    }
     const monotonic_time now = m_context.clock.monotonic();
     const bool isUnacknowledged = isRepeated
         && m_inputDrainedAt - record.requestSentAt >= minUnacknowledgedTime && now >= m_ignoreUntil;
-    if (packet.isFin || packet.isRst || !isEnabledFor(packet.flow)) {
-        return false;
-    }
     if (isUnacknowledged) {
         m_context.health.deadUpstreams().onUnacknowledged(record.upstream, m_ownWitness, now);
         m_context.reports.noteNews();
@@ -115,8 +129,13 @@
 
 void dead_flow_resetter::onSweep(const flow_id &flow, flow_record &record)
 {
-    if (record.phase == flow_phase::open && isDead(record.upstream) && isEnabledFor(flow)
-        && hasAlternative(record.upstream)) {
+    // The index may name another upstream by now. A flow without a packet since the rotation
+    // changed may have moved to another host and ended there; the sequence number is outdated then,
+    // and the caller may use the port again.
+    const bool isCurrent = m_context.directory.findTag(record.upstreamTag) == record.upstream
+        && record.lastPacketAt > m_context.roster.changedAt();
+    if (record.phase == flow_phase::open && isDead(record.upstream) && isCurrent
+        && isEnabledFor(flow) && hasAlternative(record.upstream)) {
         reset(flow, record, "dead");
     }
 }
@@ -138,7 +157,12 @@
 void dead_flow_resetter::advance()
 {
     dead_upstreams &evidence = m_context.health.deadUpstreams();
-    for (const upstream_index upstream : evidence.advance(m_context.clock.monotonic())) {
+    const monotonic_time now = m_context.clock.monotonic();
+    if (now < m_ignoreUntil) {
+        evidence.clear(); // from reports that may have waited in the socket
+    }
+    evidence.endVerdicts(now - verdictLifetime);
+    for (const upstream_index upstream : evidence.advance(now)) {
         const upstream_record &entry = m_context.directory.at(upstream).entry;
         m_context.output.logEvent("upstream_dead",
                                   {{"upstream", toHex(entry.id)}, {"zone", entry.zone}});
--- a/src/core/health/dead_upstreams.cpp
+++ b/src/core/health/dead_upstreams.cpp
@@ -76,7 +76,12 @@
     }
     record &item = found->second;
     // Reports of answers may arrive after the evidence of what came later, which then remains.
-    bool isEvidenceLeft = item.suspectedByPeerAt > when;
+    // Whether the upstream is dead is judged again by this rest.
+    item.isDead = false;
+    if (item.suspectedByPeerAt <= when) {
+        item.suspectedByPeerAt = {};
+    }
+    bool isEvidenceLeft = item.suspectedByPeerAt != monotonic_time{};
     for (sighting &seen : item.sightings) {
         if (seen.lastAt <= when) {
             seen = sighting{};
@@ -156,6 +161,15 @@
     return found != m_records.end() && found->second.isDead;
 }
 
+void dead_upstreams::endVerdicts(monotonic_time before)
+{
+    for (auto &[upstream, item] : m_records) {
+        item.isDead = item.isDead
+            && std::any_of(item.sightings.begin(), item.sightings.end(),
+                           [&](const sighting &seen) { return seen.lastAt >= before; });
+    }
+}
+
 std::vector<upstream_index> dead_upstreams::seenBy(std::uint64_t witness, monotonic_time since,
                                                    std::size_t maxCount) const
 {
--- a/src/core/health/upstream_health.cpp
+++ b/src/core/health/upstream_health.cpp
@@ -232,8 +232,9 @@
 {
     if (upstream < m_records.size()) {
         m_records[upstream] = record(upstreamHealthChart());
-        m_deadUpstreams.reset(upstream);
     }
+    // Reports of other hosts are evidence against upstreams without a record here, too.
+    m_deadUpstreams.reset(upstream);
 }
 
 placement_eligibility upstream_health::eligibilityOf(upstream_index upstream, monotonic_time now)
--- a/src/core/view/report_exchange.cpp
+++ b/src/core/view/report_exchange.cpp
@@ -224,12 +224,12 @@
             applyEjection(upstream, report.sender.name, now);
         }
     }
-    if (isCredible) {
+    if (isCredible && report.unacknowledging.size() * 2 <= m_directory.size()) {
+        const std::uint64_t witness = witnessOf(report.sender.name);
         for (const std::uint32_t tag : report.unacknowledging) {
             const upstream_index upstream = m_directory.findTag(tag);
             if (upstream != noUpstream) {
-                m_health.deadUpstreams().onUnacknowledged(upstream, witnessOf(report.sender.name),
-                                                          now);
+                m_health.deadUpstreams().onUnacknowledged(upstream, witness, now);
             }
         }
     }
--- a/src/core/view/upstream_directory.cpp
+++ b/src/core/view/upstream_directory.cpp
@@ -129,6 +129,7 @@
     upstream.entry = *entry;
     upstream.zone = zoneNumber(entry->zone);
     upstream.isListed = true;
+    upstream.hasLapsed = false;
     if (entry->coldFor > milliseconds::zero()) {
         upstream.coldUntil = std::max(upstream.coldUntil, now + entry->coldFor + coldMargin);
     }
@@ -219,10 +220,12 @@
 
 void upstream_directory::remove(known_upstream &upstream, monotonic_time now)
 {
-    if (now < m_lapseGraceEnd && upstream.isListed && !upstream.entry.isDraining) {
+    const bool isLapse = now < m_lapseGraceEnd && upstream.isListed;
+    if (isLapse && !upstream.entry.isDraining) {
         upstream.isLapsing = true;
         m_hasLapsing = true;
     } else {
+        upstream.hasLapsed = upstream.hasLapsed || isLapse;
         unlist(upstream, now);
     }
 }
@@ -343,6 +346,7 @@
     m_hasLapsing = false;
     for (known_upstream &upstream : m_upstreams) {
         if (upstream.isLapsing) {
+            upstream.hasLapsed = true;
             unlist(upstream, now);
         }
     }
--- a/tests/core/dead_flow_resetter_test.cpp
+++ b/tests/core/dead_flow_resetter_test.cpp
@@ -82,6 +82,9 @@
                 if (isOtherZoneHeard) {
                     receiveReport("h9", "there");
                 }
+                if (isFourthHostHeard) {
+                    receiveReport("h4", "here");
+                }
             }
             core.onInputDrained();
             core.tick();
@@ -99,6 +102,14 @@
         core.onPeerReport(report);
     }
 
+    /// Three other hosts report that the upstream acknowledges nothing.
+    void reportDead(std::uint64_t upstream)
+    {
+        receiveReport("h2", "here", {}, {upstreamTag(upstream)});
+        receiveReport("h3", "here", {}, {upstreamTag(upstream)});
+        receiveReport("h9", "there", {}, {upstreamTag(upstream)});
+    }
+
     /// Sends the request with number @p number of the flow to upstream @p upstream; the same number
     /// repeats it. Each acknowledges the answer before.
     void send(std::uint32_t number, std::uint64_t upstream = 1, std::uint16_t port = 1000)
@@ -125,6 +136,7 @@
     reset_counter output;
     entry_core core{entry_settings{host_record{"h1", "here", {}, 1}}, clock, 1, output};
     bool isOtherZoneHeard = true;
+    bool isFourthHostHeard = false;
 };
 
 class host_in_automatic_mode : public host_with_open_flow
@@ -273,6 +285,132 @@
     CHECK(output.resets == 0);
 }
 
+// Guards against evidence that outlives an incarnation of which this host saw nothing itself.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: an upstream without flows here restarts: the evidence is forgotten")
+{
+    for (const char *host : {"h2", "h3", "h9"}) {
+        receiveReport(host, "here", {}, {upstreamTag(4)});
+    }
+    core.onRecordChange(changeOf(entryOf(4, 2), 200));
+    run(600);
+    send(1, 4, 3000);
+    CHECK(output.resets == 0);
+}
+
+// Guards against resets for what was known before a freeze, or was read late from the socket: the
+// upstream may have answered since.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: this host was frozen: evidence from before its end does not count")
+{
+    SUBCASE("the upstream was dead before the freeze")
+    {
+        reportDead(1);
+        run(600);
+        REQUIRE(output.resets == 1);
+        clock.advance(milliseconds(8000));
+        core.onFreeze(milliseconds(8000));
+        send(7, 1, 3000);
+        CHECK(output.resets == 1);
+    }
+    SUBCASE("reports that waited in the socket")
+    {
+        clock.advance(milliseconds(8000));
+        core.onFreeze(milliseconds(8000));
+        reportDead(1);
+        run(600);
+        CHECK(output.resets == 0);
+    }
+}
+
+// Guards against resets at an upstream that recovered while no report of its answers came here.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: three hosts agreed, the evidence is not renewed: no flow is reset")
+{
+    reportDead(1);
+    run(600);
+    REQUIRE(output.resets == 1);
+    run(1600);
+    send(7, 1, 3000);
+    CHECK(output.resets == 1);
+    receiveReport("h2", "here", {}, {upstreamTag(1)}); // one host is not enough for a new verdict
+    run(600);
+    CHECK(output.resets == 1);
+}
+
+// Guards against draining upstreams, and those that lapse for longer, counting as gone.
+TEST_CASE_FIXTURE(
+    host_with_open_flow,
+    "dead flows: a request is repeated, an outage of the store unlisted the upstream: "
+    "not reset")
+{
+    std::int64_t grace = 2200;
+    SUBCASE("while it drained")
+    {
+        upstream_record draining = entryOf(1);
+        draining.isDraining = true;
+        core.onRecordChange(changeOf(draining, 150));
+    }
+    SUBCASE("at the end of the grace period")
+    {
+        grace = 100;
+    }
+    core.keepLapsedUntil(clock.monotonic() + milliseconds(grace));
+    record_change gone = changeOf(entryOf(1), 200);
+    gone.content = record_change::removed{};
+    core.onRecordChange(gone);
+    run(200);
+    send(1);
+    CHECK(output.resets == 0);
+}
+
+// Guards against resets with outdated sequence numbers, which may hit a later flow that uses the
+// port again: the end of a flow that moved is not seen here.
+TEST_CASE_FIXTURE(
+    host_with_open_flow,
+    "dead flows: three hosts agree, the rotation changed since: only flows with later "
+    "packets are reset")
+{
+    isFourthHostHeard = true;
+    run(110);
+    send(1, 1, 3000);
+    reportDead(1);
+    run(600);
+    CHECK(output.resets == 1);
+    send(2);
+    CHECK(output.resets == 2);
+}
+
+// Guards against the flows of a forgotten upstream being taken for those of the next one.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: the upstream's index is used again and that one dies: not reset")
+{
+    record_change gone = changeOf(entryOf(1), 200);
+    gone.content = record_change::removed{};
+    core.onRecordChange(gone);
+    run(55000);
+    send(2);
+    run(7000);
+    core.onRecordChange(changeOf(entryOf(5), 201));
+    reportDead(5);
+    run(600);
+    CHECK(output.resets == 0);
+}
+
+// Guards against one host that is cut off from all upstreams acting as second source for each.
+TEST_CASE_FIXTURE(
+    host_with_open_flow,
+    "dead flows: a request is repeated, another host gets no acknowledgement from any "
+    "upstream: not reset")
+{
+    run(190);
+    receiveReport("h2", "here", {},
+                  {upstreamTag(1), upstreamTag(2), upstreamTag(3), upstreamTag(4)});
+    run(10);
+    send(1);
+    CHECK(output.resets == 0);
+}
+
 // Guards against a report with absurd contents that ends the flows of all upstreams.
 TEST_CASE_FIXTURE(host_with_open_flow,
                   "dead flows: a host reports every upstream and unknown ones: no flow is reset")
--- a/tests/core/dead_upstreams_test.cpp
+++ b/tests/core/dead_upstreams_test.cpp
@@ -101,6 +101,27 @@
     CHECK_FALSE(isDeadAt(2000));
 }
 
+// Guards against what an answer refuted being kept with the evidence that came after the answer.
+TEST_CASE("dead_upstreams: an answer before the last sighting: ends what preceded it")
+{
+    agreed_evidence agreed;
+    dead_upstreams &evidence = agreed.evidence;
+    SUBCASE("that it is dead")
+    {
+        REQUIRE(agreed.isDeadAt(410));
+        evidence.onUnacknowledged(testUpstream, 1, ms(500));
+        evidence.onAnswered(testUpstream, ms(450));
+        CHECK_FALSE(evidence.isDead(testUpstream));
+        CHECK_FALSE(agreed.isDeadAt(1000));
+    }
+    SUBCASE("a suspicion")
+    {
+        evidence.onSuspectedByPeer(testUpstream, ms(0));
+        evidence.onAnswered(testUpstream, ms(200));
+        CHECK_FALSE(evidence.hasPeerEvidence(testUpstream, 3, ms(310)));
+    }
+}
+
 TEST_CASE("dead_upstreams: other hosts: their evidence counts for 1.5 s, this host's own does not")
 {
     dead_upstreams evidence;
