Test that requests that waited in the socket prove nothing

Cause: the mutation "requests that waited in the socket prove nothing" passed all tests. The test reported the suspicion together with the flow, whose adoption counts as an answer, so there was no second source in any case.

Change: the report arrives after the wait.

Result: the mutation fails the test; without it the tests "dead flows:*" pass.

--- a/tests/core/dead_flow_resetter_test.cpp
+++ b/tests/core/dead_flow_resetter_test.cpp
@@ -195,8 +195,8 @@
     }
     SUBCASE("both copies waited in the socket of this host")
     {
-        receiveReport("h2", "here", {suspectedRow(1)});
         clock.advance(milliseconds(300));
+        receiveReport("h2", "here", {suspectedRow(1)});
     }
     SUBCASE("this host was frozen")
     {
