--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -846,7 +846,6 @@
     CHECK(output.counterValue(entry_counter::rotationLeaves) == 0);
 }
 
-
 namespace {
 
 /// A host that serves one request after the other.
