Hold no packet against upstreams that this host may have lost

Cause: hosts of 10 Mbit/s relayed a configuration of 1,400 routes to their zone, or changes after all hosts had been killed. Their links were full for up to 3 s and lost packets of callers. Callers repeated their requests, several hosts saw it at once, and each took the others for a second source. The reset flows had no packet at their upstreams since before the relay.

Change: a missing acknowledgement counts only if the host's own sends, against the capacity of its link (new key `host.link_mbps`), had left no queue when it forwarded the request, and if a request that it forwarded at the same time or later was answered. Ejections that other hosts report are no second source any more: the owner of an upstream repeats the ejection that this host brought about.

The new cases of "dead flows: not reset without sound evidence" fail when the two rules are disabled.

--- a/include/figstair/core/flow/dead_flow_resetter.h
+++ b/include/figstair/core/flow/dead_flow_resetter.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <string_view>
 
 #include "figstair/core/flow/flow_context.h"
 #include "figstair/core/load/flow_reuse.h"
+#include "figstair/core/load/link_backlog.h"
 
 namespace figstair {
 
@@ -29,6 +31,22 @@
     /// The socket for callers' packets was found empty: what is read later arrived after now.
     void onInputDrained(monotonic_time now) { m_inputDrainedAt = now; }
 
+    /// An upstream answered a request that this host forwarded at @p sentAt. What the host
+    /// forwarded before has left it, too.
+    void onAnswered(monotonic_time sentAt)
+    {
+        m_answeredSentAt = std::max(m_answeredSentAt, sentAt);
+    }
+
+    /// The host sends a datagram with @p payloadBytes, for whatever purpose.
+    void onDatagramSent(std::size_t payloadBytes, monotonic_time now)
+    {
+        m_link.onSent(payloadBytes, now);
+    }
+
+    /// The settings changed.
+    void updateSettings() { m_link.setCapacity(m_context.settings.linkMbps); }
+
     /// The process was frozen. Repeated requests that queued up meanwhile prove nothing.
     void onFreeze(monotonic_time now);
 
@@ -53,7 +71,10 @@
     const flow_context &m_context;
     std::uint64_t m_ownWitness;
     flow_reuse m_reuse;
+    link_backlog m_link;
     monotonic_time m_inputDrainedAt{};
+    /// Latest time at which this host forwarded a request that was answered.
+    monotonic_time m_answeredSentAt{};
     monotonic_time m_ignoreUntil{};
 };
 
--- a/include/figstair/core/flow/entry_core.h
+++ b/include/figstair/core/flow/entry_core.h
@@ -42,6 +42,12 @@
     /// The socket for callers' packets was found empty: later packets have arrived since.
     void onInputDrained() { m_deadFlows.onInputDrained(m_clock.monotonic()); }
 
+    /// The host sends a datagram with @p payloadBytes, for whatever purpose.
+    void onDatagramSent(std::size_t payloadBytes)
+    {
+        m_deadFlows.onDatagramSent(payloadBytes, m_clock.monotonic());
+    }
+
     /// Applies one change of a store record.
     void onRecordChange(const record_change &change);
 
--- a/include/figstair/core/flow/entry_settings.h
+++ b/include/figstair/core/flow/entry_settings.h
@@ -22,6 +22,8 @@
     /// Whether callers are told by a reset that the upstream of their open flow is dead. Automatic:
     /// on routes whose flows carry several requests.
     part_mode resetDeadFlows = part_mode::automatic;
+    /// Capacity of this host's link. The default is that of a weak host.
+    double linkMbps = 10;
     std::size_t maxFlows = 65536; ///< capacity of the flow table; 100 bytes per flow
     part_mode leaveWhenIsolated = part_mode::automatic; ///< see zone_isolation
     /// Whether flows are placed by the outstanding work of upstreams; see request_cost.
--- a/include/figstair/core/health/dead_upstreams.h
+++ b/include/figstair/core/health/dead_upstreams.h
@@ -26,7 +26,8 @@
     /// The host @p witness (a hash of its name) saw data that the upstream did not acknowledge.
     void onUnacknowledged(upstream_index upstream, std::uint64_t witness, monotonic_time now);
 
-    /// Another host reported the upstream as suspected or ejected.
+    /// Another host reported that a flow of its own got no answer from the upstream. Ejections do
+    /// not count: other hosts repeat those that this host brought about.
     void onSuspectedByPeer(upstream_index upstream, monotonic_time now);
 
     /// The upstream answered through any host at about @p when.
--- a/src/core/flow/dead_flow_resetter.cpp
+++ b/src/core/flow/dead_flow_resetter.cpp
@@ -31,6 +31,7 @@
 dead_flow_resetter::dead_flow_resetter(const flow_context &context)
     : m_context(context)
     , m_ownWitness(witnessOf(context.roster.self().name))
+    , m_link(context.settings.linkMbps)
 {
 }
 
@@ -106,8 +107,12 @@
         return false;
     }
     const monotonic_time now = m_context.clock.monotonic();
+    // The request may have been lost in this host's link if the link was congested, or if no later
+    // request was answered.
     const bool isUnacknowledged = isRepeated
-        && m_inputDrainedAt - record.requestSentAt >= minUnacknowledgedTime && now >= m_ignoreUntil;
+        && m_inputDrainedAt - record.requestSentAt >= minUnacknowledgedTime
+        && m_answeredSentAt >= record.requestSentAt
+        && m_link.congestedUntil() < record.requestSentAt && now >= m_ignoreUntil;
     if (isUnacknowledged) {
         m_context.health.deadUpstreams().onUnacknowledged(record.upstream, m_ownWitness, now);
         m_context.reports.noteNews();
--- a/src/core/flow/entry_core.cpp
+++ b/src/core/flow/entry_core.cpp
@@ -99,6 +99,7 @@
 void entry_core::updateSettings(const entry_settings &settings)
 {
     m_settings = settings;
+    m_deadFlows.updateSettings();
     m_costs.setMode(settings.placementByWork);
     m_directory.setReturnColdTime(settings.heartbeat * returnColdHeartbeats);
 }
@@ -250,6 +251,7 @@
     const monotonic_time now = m_clock.monotonic();
     const milliseconds answerTime = now - record.requestSentAt;
     m_health.onAnswered(record.upstream, now);
+    m_deadFlows.onAnswered(record.requestSentAt);
     const answer_verdict verdict = m_serviceTimes.onAnswer(
         packet.flow, answerTime, m_context.latencyTargetOf(packet.flow), record.requestsPerSlot,
         packet.acknowledged - record.acknowledgedAtRequest);
--- a/src/core/health/upstream_health.cpp
+++ b/src/core/health/upstream_health.cpp
@@ -180,7 +180,6 @@
     record &item = at(upstream);
     expireState(item, now);
     if (now - item.lastAnswerAt > recentAnswerAge) {
-        m_deadUpstreams.onSuspectedByPeer(upstream, now);
         fire(item, ownsTrials ? "peerReportToOwner" : "peerReport", now);
     }
 }
@@ -190,7 +189,6 @@
     record &item = at(upstream);
     expireState(item, now);
     if (now - item.lastAnswerAt > recentAnswerAge) {
-        m_deadUpstreams.onSuspectedByPeer(upstream, now);
         fire(item, "ejectedByOwner", now);
     }
 }
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -222,6 +222,7 @@
     {
         boost::system::error_code error;
         socket.send_to(asio::buffer(bytes.data(), bytes.size()), to, 0, error);
+        m_core->onDatagramSent(bytes.size());
         logSendError(error);
     }
 
--- a/src/host/entry_process_settings.cpp
+++ b/src/host/entry_process_settings.cpp
@@ -91,6 +91,10 @@
              s.core.self.cpuMillicores = static_cast<unsigned>(std::lround(share * 1000));
              return isRead;
          }},
+        {"host", "link_mbps", false, "megabits per second from 0.1 to 1000000",
+         [&s](const std::string &v) {
+             return readNumber<double>(v, 0.1, 1000000, s.core.linkMbps);
+         }},
         {"host", "metrics_port", false, "a port from 0 (off) to 65535",
          [&s](const std::string &v) {
              return readNumber<std::uint16_t>(v, 0, 65535, s.metricsListen.port);
--- a/tests/core/dead_flow_resetter_test.cpp
+++ b/tests/core/dead_flow_resetter_test.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::uint32_t routeAddress = 0xC6120001;
+constexpr std::uint16_t controlPort = 444;
 
 class reset_counter : public silent_output
 {
@@ -49,6 +50,13 @@
         config.version = 1;
         config.routes.push_back(
             route{"r", routeAddress, 443, {{"desk", 1}}, milliseconds(4000), milliseconds(500), 0});
+        config.routes.push_back(route{"other",
+                                      routeAddress,
+                                      controlPort,
+                                      {{"desk", 1}},
+                                      milliseconds(4000),
+                                      milliseconds(500),
+                                      0});
         listing[0].revision = 50;
         listing[0].content = config;
         for (std::uint64_t id = 1; id <= 4; ++id) {
@@ -70,7 +78,8 @@
         return entry;
     }
 
-    /// Lets time pass, with reports from other hosts every 100 ms while they are heard.
+    /// Lets time pass, with reports from other hosts every 100 ms while they are heard, and
+    /// requests on a flow to upstream 2 that are answered within 50 ms.
     void run(std::int64_t time)
     {
         const monotonic_time end = clock.monotonic() + milliseconds(time);
@@ -86,6 +95,9 @@
                     receiveReport("h4", "here");
                 }
             }
+            if (isOtherFlowAnswered && clock.monotonic().time_since_epoch().count() % 50 == 0) {
+                send(++m_controlRequests, 2, 9000, controlPort);
+            }
             core.onInputDrained();
             core.tick();
         }
@@ -112,10 +124,11 @@
 
     /// Sends the request with number @p number of the flow to upstream @p upstream; the same number
     /// repeats it. Each acknowledges the answer before.
-    void send(std::uint32_t number, std::uint64_t upstream = 1, std::uint16_t port = 1000)
+    void send(std::uint32_t number, std::uint64_t upstream = 1, std::uint16_t port = 1000,
+              std::uint16_t routePort = 443)
     {
         flow_packet packet;
-        packet.flow = flow_id{0x64400007, routeAddress, port, 443};
+        packet.flow = flow_id{0x64400007, routeAddress, port, routePort};
         packet.upstreamTag = upstreamTag(upstream);
         packet.sequence = 100 * number;
         packet.acknowledged = 5000 + 1000 * number;
@@ -137,6 +150,10 @@
     entry_core core{entry_settings{host_record{"h1", "here", {}, 1}}, clock, 1, output};
     bool isOtherZoneHeard = true;
     bool isFourthHostHeard = false;
+    bool isOtherFlowAnswered = true;
+
+private:
+    std::uint32_t m_controlRequests = 0;
 };
 
 class host_in_automatic_mode : public host_with_open_flow
@@ -198,6 +215,31 @@
         clock.advance(milliseconds(300));
         receiveReport("h2", "here", {suspectedRow(1)});
     }
+    SUBCASE("nothing that this host forwarded since was answered: its link may be congested")
+    {
+        isOtherFlowAnswered = false;
+        run(190);
+        receiveReport("h2", "here", {suspectedRow(1)});
+        run(10);
+    }
+    SUBCASE("this host fills its link for another purpose")
+    {
+        core.onDatagramSent(400000); // 320 ms of 10 Mbit/s
+        send(2);
+        run(190);
+        receiveReport("h2", "here", {suspectedRow(1)});
+        run(10);
+        send(2);
+    }
+    SUBCASE("another host only repeats that the upstream is ejected")
+    {
+        run(190);
+        load_row ejected;
+        ejected.tag = upstreamTag(1);
+        ejected.isEjected = true;
+        receiveReport("h2", "here", {ejected});
+        run(10);
+    }
     SUBCASE("this host was frozen")
     {
         run(190);
--- a/tests/core/dead_upstreams_test.cpp
+++ b/tests/core/dead_upstreams_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "figstair/core/load/flow_reuse.h"
+#include "figstair/core/load/link_backlog.h"
 
 using namespace figstair;
 
@@ -154,6 +155,25 @@
     CHECK(evidence.size() == 0);
 }
 
+// Guards against packets that this host itself delays or loses being held against upstreams.
+TEST_CASE("link_backlog: more is sent than the link carries: congested until the queue is empty")
+{
+    link_backlog link(10); // 1,250 bytes a millisecond
+    link.onSent(1222, ms(0));
+    CHECK(link.congestedUntil() == monotonic_time{});
+    for (int part = 0; part < 100; ++part) {
+        link.onSent(1222, ms(10));
+    }
+    CHECK(link.congestedUntil() == ms(110));
+    link.onSent(1222, ms(200));
+    CHECK(link.congestedUntil() == ms(110));
+    link.setCapacity(1000);
+    for (int part = 0; part < 100; ++part) {
+        link.onSent(1222, ms(300));
+    }
+    CHECK(link.congestedUntil() == ms(110));
+}
+
 TEST_CASE("flow_reuse: requests per flow of a route: several only if clearly above one")
 {
     flow_reuse reuse;
