--- a/include/figstair/core/flow/dead_flow_resetter.h
+++ b/include/figstair/core/flow/dead_flow_resetter.h
@@ -69,7 +69,7 @@
     void reset(const flow_id &flow, flow_record &record, std::string_view evidence);
 
     const flow_context &m_context;
-    std::uint64_t m_ownWitness;
+    std::uint64_t m_ownObserver;
     flow_reuse m_reuse;
     link_backlog m_link;
     monotonic_time m_inputDrainedAt{};
--- a/include/figstair/core/health/dead_upstreams.h
+++ b/include/figstair/core/health/dead_upstreams.h
@@ -23,8 +23,8 @@
 class dead_upstreams
 {
 public:
-    /// The host @p witness (a hash of its name) saw data that the upstream did not acknowledge.
-    void onUnacknowledged(upstream_index upstream, std::uint64_t witness, monotonic_time now);
+    /// The host @p observer (a hash of its name) saw data that the upstream did not acknowledge.
+    void onUnacknowledged(upstream_index upstream, std::uint64_t observer, monotonic_time now);
 
     /// Another host reported that a flow of its own got no answer from the upstream. Ejections do
     /// not count: other hosts repeat those that this host brought about.
@@ -57,27 +57,27 @@
     /// acknowledges nothing. Stays true until it answers or restarts, or until endVerdicts().
     bool isDead(upstream_index upstream) const;
 
-    /// Upstreams that @p witness saw leave data unacknowledged at or after @p since, with no answer
-    /// after it; at most @p maxCount.
-    std::vector<upstream_index> seenBy(std::uint64_t witness, monotonic_time since,
-                                       std::size_t maxCount) const;
+    /// Upstreams that @p observer saw leave data unacknowledged at or after @p since, with no
+    /// answer after it; at most @p maxCount.
+    std::vector<upstream_index> observedBy(std::uint64_t observer, monotonic_time since,
+                                           std::size_t maxCount) const;
 
     std::size_t size() const { return m_records.size(); }
 
 private:
     /// Hosts kept for each upstream. More than are needed, so that old ones do not displace new
     /// ones.
-    static constexpr std::size_t maxWitnesses = 8;
+    static constexpr std::size_t maxObservers = 8;
 
-    struct sighting
+    struct observation
     {
-        std::uint64_t witness = 0;
-        monotonic_time firstAt{}; ///< zero: no sighting
+        std::uint64_t observer = 0;
+        monotonic_time firstAt{}; ///< zero: no observation
         monotonic_time lastAt{};
     };
     struct record
     {
-        std::array<sighting, maxWitnesses> sightings;
+        std::array<observation, maxObservers> observations;
         monotonic_time suspectedByPeerAt{};
         bool isDead = false;
     };
--- a/include/figstair/core/view/report_exchange.h
+++ b/include/figstair/core/view/report_exchange.h
@@ -20,7 +20,7 @@
 };
 
 /// The number that names the host in dead_upstreams.
-std::uint64_t witnessOf(const std::string &host);
+std::uint64_t observerOf(const std::string &host);
 
 /// Schedules this host's reports to other hosts and applies their reports. Reports are periodic.
 /// News is a triggered update, sent before the next periodic report is due. In a large fleet it has
@@ -67,7 +67,7 @@
     load_board &m_loads;
     upstream_health &m_health;
     peer_roster &m_roster;
-    std::uint64_t m_ownWitness; ///< this host in dead_upstreams
+    std::uint64_t m_ownObserver; ///< this host in dead_upstreams
     std::uint64_t m_sequence = 0;
     monotonic_time m_nextReport{};
     monotonic_time m_nextNews{};
--- a/src/core/flow/dead_flow_resetter.cpp
+++ b/src/core/flow/dead_flow_resetter.cpp
@@ -30,7 +30,7 @@
 
 dead_flow_resetter::dead_flow_resetter(const flow_context &context)
     : m_context(context)
-    , m_ownWitness(witnessOf(context.roster.self().name))
+    , m_ownObserver(observerOf(context.roster.self().name))
     , m_link(context.settings.linkMbps)
 {
 }
@@ -59,7 +59,7 @@
 {
     const known_upstream &known = m_context.directory.at(upstream);
     const monotonic_time now = m_context.clock.monotonic();
-    if (m_context.health.deadUpstreams().hasPeerEvidence(upstream, m_ownWitness, now)) {
+    if (m_context.health.deadUpstreams().hasPeerEvidence(upstream, m_ownObserver, now)) {
         return "other_hosts";
     }
     if (isEntryGone(known)) {
@@ -114,7 +114,7 @@
         && m_answeredSentAt >= record.requestSentAt
         && m_link.congestedUntil() < record.requestSentAt && now >= m_ignoreUntil;
     if (isUnacknowledged) {
-        m_context.health.deadUpstreams().onUnacknowledged(record.upstream, m_ownWitness, now);
+        m_context.health.deadUpstreams().onUnacknowledged(record.upstream, m_ownObserver, now);
         m_context.reports.noteNews();
         const bool hasAnswered =
             now - m_context.health.lastAnswerTime(record.upstream) <= recentAnswerTime;
--- a/src/core/health/dead_upstreams.cpp
+++ b/src/core/health/dead_upstreams.cpp
@@ -7,11 +7,11 @@
 
 /// Hosts that have to agree before all flows of an upstream are reset. Two hosts may share a broken
 /// link to it.
-constexpr std::size_t minWitnesses = 3;
+constexpr std::size_t minObservers = 3;
 
-/// Time within which they have to see it, and the least time from the first sighting: longer than a
-/// report of an answer through another host of the zone takes in a small fleet, and than a packet
-/// is held up by a change of routing.
+/// Time within which they have to see it, and the least time from the first observation: longer
+/// than a report of an answer through another host of the zone takes in a small fleet, and than a
+/// packet is held up by a change of routing.
 constexpr milliseconds agreementWindow{2000};
 constexpr milliseconds minEvidenceTime{400};
 
@@ -37,22 +37,23 @@
     return m_records.size() < maxRecords ? &m_records[upstream] : nullptr;
 }
 
-void dead_upstreams::onUnacknowledged(upstream_index upstream, std::uint64_t witness,
+void dead_upstreams::onUnacknowledged(upstream_index upstream, std::uint64_t observer,
                                       monotonic_time now)
 {
     record *item = recordFor(upstream);
     if (item == nullptr) {
         return;
     }
-    auto &sightings = item->sightings;
-    auto found = std::find_if(sightings.begin(), sightings.end(), [&](const sighting &seen) {
-        return seen.firstAt != monotonic_time{} && seen.witness == witness;
-    });
-    if (found == sightings.end()) {
+    auto &observations = item->observations;
+    auto found =
+        std::find_if(observations.begin(), observations.end(), [&](const observation &seen) {
+            return seen.firstAt != monotonic_time{} && seen.observer == observer;
+        });
+    if (found == observations.end()) {
         found = std::min_element(
-            sightings.begin(), sightings.end(),
-            [](const sighting &a, const sighting &b) { return a.lastAt < b.lastAt; });
-        *found = sighting{witness, now, now};
+            observations.begin(), observations.end(),
+            [](const observation &a, const observation &b) { return a.lastAt < b.lastAt; });
+        *found = observation{observer, now, now};
     } else {
         found->lastAt = std::max(found->lastAt, now);
     }
@@ -82,9 +83,9 @@
         item.suspectedByPeerAt = {};
     }
     bool isEvidenceLeft = item.suspectedByPeerAt != monotonic_time{};
-    for (sighting &seen : item.sightings) {
+    for (observation &seen : item.observations) {
         if (seen.lastAt <= when) {
-            seen = sighting{};
+            seen = observation{};
         } else {
             seen.firstAt = std::max(seen.firstAt, when);
             isEvidenceLeft = true;
@@ -99,13 +100,13 @@
 {
     std::size_t agreeing = 0;
     monotonic_time firstAt = now;
-    for (const sighting &seen : item.sightings) {
+    for (const observation &seen : item.observations) {
         if (seen.firstAt != monotonic_time{} && now - seen.lastAt <= agreementWindow) {
             ++agreeing;
             firstAt = std::min(firstAt, seen.firstAt);
         }
     }
-    return agreeing >= minWitnesses && now - firstAt >= minEvidenceTime;
+    return agreeing >= minObservers && now - firstAt >= minEvidenceTime;
 }
 
 std::vector<upstream_index> dead_upstreams::advance(monotonic_time now)
@@ -118,7 +119,7 @@
             died.push_back(entry->first);
         }
         monotonic_time lastAt = item.suspectedByPeerAt;
-        for (const sighting &seen : item.sightings) {
+        for (const observation &seen : item.observations) {
             lastAt = std::max(lastAt, seen.lastAt);
         }
         const bool isOutdated = !item.isDead && now - lastAt > evidenceLifetime;
@@ -138,18 +139,19 @@
     const bool isSuspected = item.suspectedByPeerAt != monotonic_time{}
         && now - item.suspectedByPeerAt <= suspicionLifetime;
     return isSuspected
-        || std::any_of(item.sightings.begin(), item.sightings.end(), [&](const sighting &seen) {
-               return seen.firstAt != monotonic_time{} && seen.witness != self
-                   && now - seen.lastAt <= suspicionLifetime;
-           });
+        || std::any_of(item.observations.begin(), item.observations.end(),
+                       [&](const observation &seen) {
+                           return seen.firstAt != monotonic_time{} && seen.observer != self
+                               && now - seen.lastAt <= suspicionLifetime;
+                       });
 }
 
 bool dead_upstreams::hasUnacknowledged(upstream_index upstream) const
 {
     const auto found = m_records.find(upstream);
     return found != m_records.end()
-        && std::any_of(found->second.sightings.begin(), found->second.sightings.end(),
-                       [](const sighting &seen) { return seen.firstAt != monotonic_time{}; });
+        && std::any_of(found->second.observations.begin(), found->second.observations.end(),
+                       [](const observation &seen) { return seen.firstAt != monotonic_time{}; });
 }
 
 bool dead_upstreams::isDead(upstream_index upstream) const
@@ -165,21 +167,21 @@
 {
     for (auto &[upstream, item] : m_records) {
         item.isDead = item.isDead
-            && std::any_of(item.sightings.begin(), item.sightings.end(),
-                           [&](const sighting &seen) { return seen.lastAt >= before; });
+            && std::any_of(item.observations.begin(), item.observations.end(),
+                           [&](const observation &seen) { return seen.lastAt >= before; });
     }
 }
 
-std::vector<upstream_index> dead_upstreams::seenBy(std::uint64_t witness, monotonic_time since,
-                                                   std::size_t maxCount) const
+std::vector<upstream_index> dead_upstreams::observedBy(std::uint64_t observer, monotonic_time since,
+                                                       std::size_t maxCount) const
 {
     std::vector<upstream_index> list;
     for (const auto &[upstream, item] : m_records) {
-        const bool isSeen =
-            std::any_of(item.sightings.begin(), item.sightings.end(), [&](const sighting &seen) {
-                return seen.firstAt != monotonic_time{} && seen.witness == witness
-                    && seen.lastAt >= since;
-            });
+        const bool isSeen = std::any_of(item.observations.begin(), item.observations.end(),
+                                        [&](const observation &seen) {
+                                            return seen.firstAt != monotonic_time{}
+                                            && seen.observer == observer && seen.lastAt >= since;
+                                        });
         if (isSeen && list.size() < maxCount) {
             list.push_back(upstream);
         }
--- a/src/core/view/report_exchange.cpp
+++ b/src/core/view/report_exchange.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-std::uint64_t witnessOf(const std::string &host)
+std::uint64_t observerOf(const std::string &host)
 {
     return rendezvousScore(0, host);
 }
@@ -37,7 +37,7 @@
     , m_loads(loads)
     , m_health(health)
     , m_roster(roster)
-    , m_ownWitness(witnessOf(roster.self().name))
+    , m_ownObserver(observerOf(roster.self().name))
 {
 }
 
@@ -90,8 +90,8 @@
     report.sender = m_roster.self();
     report.sequence = ++m_sequence;
     report.isLeaving = m_isLeaving;
-    for (const upstream_index upstream : m_health.deadUpstreams().seenBy(
-             m_ownWitness, now - unacknowledgedReportTime, maxNewsRows)) {
+    for (const upstream_index upstream : m_health.deadUpstreams().observedBy(
+             m_ownObserver, now - unacknowledgedReportTime, maxNewsRows)) {
         report.unacknowledging.push_back(m_directory.at(upstream).tag);
     }
     m_hasNews = false;
@@ -225,11 +225,11 @@
         }
     }
     if (isCredible && report.unacknowledging.size() * 2 <= m_directory.size()) {
-        const std::uint64_t witness = witnessOf(report.sender.name);
+        const std::uint64_t observer = observerOf(report.sender.name);
         for (const std::uint32_t tag : report.unacknowledging) {
             const upstream_index upstream = m_directory.findTag(tag);
             if (upstream != noUpstream) {
-                m_health.deadUpstreams().onUnacknowledged(upstream, witness, now);
+                m_health.deadUpstreams().onUnacknowledged(upstream, observer, now);
             }
         }
     }
--- a/tests/core/dead_upstreams_test.cpp
+++ b/tests/core/dead_upstreams_test.cpp
@@ -86,8 +86,9 @@
 }
 
 // Guards against a busy upstream that loses some packets and answers others.
-TEST_CASE_FIXTURE(agreed_evidence,
-                  "dead_upstreams: an answer between the sightings: those before it do not count")
+TEST_CASE_FIXTURE(
+    agreed_evidence,
+    "dead_upstreams: an answer between the observations: those before it do not count")
 {
     SUBCASE("after all of them")
     {
@@ -103,7 +104,7 @@
 }
 
 // Guards against what an answer refuted being kept with the evidence that came after the answer.
-TEST_CASE("dead_upstreams: an answer before the last sighting: ends what preceded it")
+TEST_CASE("dead_upstreams: an answer before the last observation: ends what preceded it")
 {
     agreed_evidence agreed;
     dead_upstreams &evidence = agreed.evidence;
