--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -36,13 +36,13 @@
     milliseconds workTime{60}; ///< mean; uniformly distributed from 50% to 150%
     milliseconds latencyTarget{250};
     unsigned priority = 0;
+    double tailShare = 0; ///< share of the requests that take tailFactor times as long
+    double tailFactor = 1;
     /// A caller closes a flow after this many answers. With more than one, callers keep open flows
     /// for their next requests.
     unsigned requestsPerFlow = 1;
     milliseconds pauseBetweenRequests{0}; ///< at least, on one flow after an answer
     bool isSafe = true; ///< retried after a failure of an open flow
-    double tailShare = 0; ///< share of the requests that take tailFactor times as long
-    double tailFactor = 1;
 };
 
 /// Parameters of a simulated deployment. All times are simulated, not measured.
