Correct two comments on recorded answers

onSaturated() named 1 s; answers are not recorded for 3 s. Answer times are not divided by the requests per slot: answers of requests without a free slot are not recorded at all.

--- a/include/figstair/core/load/request_cost.h
+++ b/include/figstair/core/load/request_cost.h
@@ -62,14 +62,14 @@
 
     void setMode(part_mode mode) { m_mode = mode; }
 
-    /// Records an answer. @p workMs: its time without the network, divided by the requests per slot
-    /// when the request was sent. Returns whether placement by work has started or stopped acting
+    /// Records an answer to a request that found a free slot. @p workMs: its time without the
+    /// network. Returns whether placement by work has started or stopped acting
     /// for the service.
     std::optional<placement_change> onAnswer(route_key route, const std::string &service,
                                              double workMs, monotonic_time now);
 
     /// No upstream of the service had room for a flow. Requests wait at upstreams then, for a time
-    /// that this host cannot tell from work, so answers within the next second are not recorded.
+    /// that this host cannot tell from work, so answers within the next 3 s are not recorded.
     void onSaturated(work_class requests, monotonic_time now);
 
     /// The class of requests on @p route to @p service. Bounded numbers of routes and services are
