Ignore outstanding work where an upstream has a free slot

Where flows are placed by work, a long request in one of two slots cost a short one several of its own times, although the other slot was free: short requests left the zone, and went to slow upstreams. Such upstreams now cost the same, but for a difference below otherZoneCost.

Both added tests failed before.

--- a/src/core/flow/flow_placer.cpp
+++ b/src/core/flow/flow_placer.cpp
@@ -120,6 +120,11 @@
         request.work == nullptr ? slowness : std::max(1.0, slowness / slownessOfWork);
     double cost = countedSlowness * std::max(1.0, outstanding + 1.0 / known.entry.slots)
         + requestsPerSlotCost * outstanding;
+    if (request.work != nullptr && requestsPerSlotWithFlow <= 1) {
+        // The flow does not wait for the outstanding work, which may be many times its own. Below
+        // otherZoneCost, so that the flow stays in the own zone.
+        cost = countedSlowness + requestsPerSlotCost * outstanding / (1 + outstanding);
+    }
     cost += candidate.isLocal ? 0.0 : otherZoneCost;
     cost += isHome || !isShared
         ? 0.0
--- a/tests/core/flow_placer_test.cpp
+++ b/tests/core/flow_placer_test.cpp
@@ -431,3 +431,106 @@
         CHECK(chooseByWork(45) != 1);
     }
 }
+
+TEST_CASE_FIXTURE(unequal_work,
+                  "flow_placer: a local upstream has a free slot behind a long request: a short "
+                  "request stays in the own zone")
+{
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        addRequest(id, 1);
+    }
+    for (int step = 0; step < 20; ++step) {
+        CHECK(chooseByWork(10) <= 3);
+    }
+}
+
+namespace {
+
+/// Requests of both routes at the two slots of each upstream, placed by work or by count. One
+/// upstream is slower than the others.
+struct slow_among_six : unequal_work
+{
+    struct open_request
+    {
+        std::uint64_t id = 0;
+        double restMs = 0;
+        double idealMs = 0;
+        unsigned requestsAtStart = 0;
+        monotonic_time startedAt;
+        work_handle handle = 0;
+    };
+
+    /// Returns the share of the flows that the slow upstream got.
+    double shareOfSlow(bool isByWork, double slowdown, unsigned arrivalsPer100Ms, unsigned seed)
+    {
+        std::mt19937_64 random(seed);
+        std::vector<open_request> open;
+        unsigned placed = 0;
+        unsigned placedAtSlow = 0;
+        for (int step = 0; step < 20000; ++step) {
+            now += milliseconds(1);
+            std::map<std::uint64_t, unsigned> served;
+            for (std::size_t index = 0; index < open.size();) {
+                open_request &item = open[index];
+                // The first two requests of each upstream have its slots.
+                if (++served[item.id] <= 2) {
+                    item.restMs -= item.id == 1 ? 1 / slowdown : 1;
+                }
+                if (item.restMs > 0) {
+                    ++index;
+                    continue;
+                }
+                const double tookMs = double((now - item.startedAt).count());
+                loads.onServed(indexOf(item.id),
+                               tookMs / std::max(1.0, item.requestsAtStart / 2.0) / item.idealMs,
+                               now);
+                loads.removeOpenRequest(indexOf(item.id));
+                work.remove(indexOf(item.id), item.handle);
+                open.erase(open.begin() + std::ptrdiff_t(index));
+            }
+            if (random() % 100 >= arrivalsPer100Ms) {
+                continue;
+            }
+            const route_key route = 1 + random() % 2;
+            const work_class requests = costs.classOf(route, service, now);
+            const placement_work estimate{work, costs.expected(requests),
+                                          costs.serviceMean(requests)};
+            placement_request request{service, 2, 2.0, noUpstream};
+            request.work = isByWork ? &estimate : nullptr;
+            const placement_result result = placer.choose(request, now);
+            if (result.outcome != placement_outcome::placed) {
+                continue;
+            }
+            loads.addOpenRequest(result.upstream);
+            const double idealMs = route == 1 ? 80 : 10;
+            const unsigned atStart = loads.openRequests(result.upstream);
+            open.push_back({idOf(result.upstream), idealMs, idealMs, atStart, now,
+                            work.add(result.upstream, requests, atStart / 2.0, now)});
+            ++placed;
+            placedAtSlow += idOf(result.upstream) == 1 ? 1 : 0;
+        }
+        return double(placedAtSlow) / placed;
+    }
+};
+
+/// Mean of shareOfSlow() over 8 seeds.
+double meanShareOfSlow(bool isByWork, double slowdown, unsigned arrivalsPer100Ms)
+{
+    double sum = 0;
+    for (unsigned seed = 1; seed <= 8; ++seed) {
+        sum += slow_among_six().shareOfSlow(isByWork, slowdown, arrivalsPer100Ms, seed);
+    }
+    return sum / 8;
+}
+
+} // namespace
+
+TEST_CASE("flow_placer: an upstream is five times slower: it gets few flows, also when they are "
+          "placed by work")
+{
+    // 14 and 18 requests per 100 ms occupy 52% and 67% of the slots of equally fast upstreams.
+    for (const bool isByWork : {false, true}) {
+        CHECK(meanShareOfSlow(isByWork, 5, 14) < meanShareOfSlow(isByWork, 1, 14) / 5);
+        CHECK(meanShareOfSlow(isByWork, 5, 18) < meanShareOfSlow(isByWork, 1, 18) * 0.6);
+    }
+}
