Keep queues of long requests cheaper than suspected upstreams

Three requests of 80 ms at each upstream cost a request of 7 ms 22.8 of its own times, a suspected upstream 21: flows went to upstreams that had just not answered. Outstanding work now counts as less than 14 times the new request's, with its order kept. The added test failed before.

--- a/src/core/flow/flow_placer.cpp
+++ b/src/core/flow/flow_placer.cpp
@@ -33,6 +33,18 @@
 /// much.
 constexpr double slownessOfWork = 2.5;
 
+/// Outstanding work per slot, in units of the new request's work, counts as less than this: with
+/// more, a queue of long requests would cost a short one more than suspicionCost.
+constexpr double maxOutstanding = 14.0;
+
+/// Returns @p outstanding, from half of maxOutstanding compressed to stay below it. Keeps the
+/// order.
+double bounded(double outstanding)
+{
+    constexpr double half = maxOutstanding / 2;
+    return outstanding <= half ? outstanding : maxOutstanding - half * half / outstanding;
+}
+
 /// Window over which the flows sent to a cold upstream are counted.
 constexpr milliseconds coldRateWindow{1000};
 
@@ -77,9 +89,9 @@
     const double slots = m_directory.at(candidate.upstream).entry.slots;
     const double peerRequests =
         std::max(0.0, requestsPerSlot - m_loads.ownOpenRequests(candidate.upstream) / slots);
-    return (request.work->outstanding.of(candidate.upstream, now) / slots
-            + peerRequests * request.work->serviceMean)
-        / request.work->expected;
+    return bounded((request.work->outstanding.of(candidate.upstream, now) / slots
+                    + peerRequests * request.work->serviceMean)
+                   / request.work->expected);
 }
 
 void flow_placer::evaluate(const placement_candidate &candidate, const placement_request &request,
--- a/tests/core/flow_placer_test.cpp
+++ b/tests/core/flow_placer_test.cpp
@@ -534,3 +534,19 @@
         CHECK(meanShareOfSlow(isByWork, 5, 18) < meanShareOfSlow(isByWork, 1, 18) * 0.6);
     }
 }
+
+TEST_CASE_FIXTURE(unequal_work,
+                  "flow_placer: long requests at all other upstreams: a suspected upstream gets no "
+                  "short request")
+{
+    health.onTimeout(indexOf(1), now);
+    REQUIRE(health.eligibilityOf(indexOf(1), now) == placement_eligibility::lastResort);
+    for (std::uint64_t id = 2; id <= 6; ++id) {
+        for (int step = 0; step < 3; ++step) {
+            addRequest(id, 1);
+        }
+    }
+    for (int step = 0; step < 20; ++step) {
+        CHECK(chooseByWork(7) != 1);
+    }
+}
