Forget open requests of flows whose route was removed

If a route was removed while a SYN had no answer, the caller's next SYN erased the record of the flow, and its request counted as open at the upstream until that restarted.

--- a/src/core/flow/flow_refuser.cpp
+++ b/src/core/flow/flow_refuser.cpp
@@ -91,7 +91,10 @@
 
 void flow_refuser::refuseWithoutRoute(const flow_id &flow)
 {
-    m_context.flows.erase(flow);
+    if (flow_record *record = m_context.flows.find(flow)) {
+        m_context.stopAwaitingAnswer(*record);
+        m_context.flows.erase(flow);
+    }
     m_context.output.count(entry_counter::packetsWithoutRoute, 1);
     m_context.output.count(entry_counter::flowsReset, 1);
     m_context.output.logEvent("flow_refused",
--- a/tests/core/entry_core_test.cpp
+++ b/tests/core/entry_core_test.cpp
@@ -744,6 +744,20 @@
     CHECK(sendFlows(4000, 1000) > 0);
 }
 
+TEST_CASE_FIXTURE(settled_host,
+                  "entry_core: the route of an unanswered SYN is removed and the SYN comes again: "
+                  "its request no longer counts as open")
+{
+    receiveSyn(1);
+    const std::uint64_t upstream = output.sent.back().upstream;
+    REQUIRE(openRequestsOf(upstream) == 1);
+    core.onRecordChange(configChange(config(2, false), 101));
+    receiveSyn(1, 1);
+    CHECK(openRequestsOf(upstream) == 0);
+    advanceTime(10000);
+    CHECK(openRequestsOf(upstream) == 0);
+}
+
 TEST_CASE_FIXTURE(settled_host,
                   "entry_core: the restored store has an entry of an earlier start: it is ignored, "
                   "and the upstream's open requests still count")
