Bound what one host's report says of an upstream

Cause: one absurd row, 65,535 open requests, made six idle upstreams look full, since placement compares each with the mean of the others; a slowness of 65,535 sixteenths was still 407 after 5 s.

Change: a row counts as at most 8 requests per slot and a slowness of 64.

--- a/src/core/flow/flow_placer.cpp
+++ b/src/core/flow/flow_placer.cpp
@@ -129,7 +129,7 @@
     const double outstanding = outstandingPerSlot(candidate, request, requestsPerSlot, now);
     const double slowness = m_loads.slownessRatio(upstream, now);
     const double countedSlowness =
-        request.work == nullptr ? slowness : std::max(1.0, slowness / slownessOfWork);
+        request.work == nullptr ? slowness : std::max(1.0, slowness - slownessOfWork + 1.0);
     double cost = countedSlowness * std::max(1.0, outstanding + 1.0 / known.entry.slots)
         + requestsPerSlotCost * outstanding;
     if (request.work != nullptr && requestsPerSlotWithFlow <= 1) {
--- a/src/core/load/load_board.cpp
+++ b/src/core/load/load_board.cpp
@@ -18,6 +18,10 @@
 /// Samples above this slowness ratio count as this ratio.
 constexpr double maxRatio = 64.0;
 
+/// Open requests per slot that count of one host's report. No host places more than about half of
+/// it, but requests on open flows may add to that.
+constexpr unsigned maxReportedPerSlot = 8;
+
 /// Slowness ratios below this are normal variation and are not reported.
 constexpr double minReportedRatio = 1.5;
 
@@ -97,10 +101,13 @@
             continue;
         }
         record &item = at(upstream);
-        item.peerRequests += row.openRequests;
-        report.push_back(reported{upstream, row.openRequests});
+        // The row may be wrong. One host does not fill an upstream beyond this.
+        const unsigned requests = std::min<unsigned>(
+            row.openRequests, m_directory.at(upstream).entry.slots * maxReportedPerSlot);
+        item.peerRequests += requests;
+        report.push_back(reported{upstream, requests});
         if (row.slownessSixteenths > 0) {
-            const double ratio = row.slownessSixteenths / slownessUnitsPerRatio;
+            const double ratio = std::min(maxRatio, row.slownessSixteenths / slownessUnitsPerRatio);
             if (ratio >= decayed(item.peerRatio, item.peerRatioAt, now)) {
                 item.peerRatio = ratio;
                 item.peerRatioAt = now;
--- a/tests/core/entry_parts_test.cpp
+++ b/tests/core/entry_parts_test.cpp
@@ -92,6 +92,19 @@
     CHECK(rows.front().slownessSixteenths > 16 * 4);
 }
 
+// Guards against one absurd row that makes all upstreams of a zone look full, since placement
+// compares each with the mean of the others.
+TEST_CASE_FIXTURE(one_known_upstream,
+                  "load_board: a report with absurd numbers: counts as 8 requests per slot and a "
+                  "slowness of 64")
+{
+    loads.setReport("a", std::vector<load_row>{{upstreamTag(1), 65535, 65535, false}}, ms(0));
+    CHECK(loads.openRequests(0) == 8 * directory.at(0).entry.slots);
+    CHECK(loads.slownessRatio(0, ms(0)) == doctest::Approx(64.0));
+    loads.dropReport("a");
+    CHECK(loads.openRequests(0) == 0);
+}
+
 TEST_CASE_FIXTURE(one_known_upstream, "load_board: a report for an unknown tag: is ignored")
 {
     loads.setReport("a", std::vector<load_row>{{12345, 9, 0, true}}, ms(0));
