--- a/tests/core/report_exchange_test.cpp
+++ b/tests/core/report_exchange_test.cpp
@@ -265,6 +265,7 @@
     };
     std::vector<load_row> rows;
     const std::vector<std::uint64_t> ids = ownedBy("h2");
+    rows.reserve(ids.size());
     for (const std::uint64_t id : ids) {
         rows.push_back(load_row{upstreamTag(id), 0, 0, true});
     }
