--- a/include/figstair/core/load/request_cost.h
+++ b/include/figstair/core/load/request_cost.h
@@ -63,8 +63,7 @@
     void setMode(part_mode mode) { m_mode = mode; }
 
     /// Records an answer to a request that found a free slot. @p workMs: its time without the
-    /// network. Returns whether placement by work has started or stopped acting
-    /// for the service.
+    /// network. Returns whether placement by work has started or stopped acting for the service.
     std::optional<placement_change> onAnswer(route_key route, const std::string &service,
                                              double workMs, monotonic_time now);
 
--- a/src/core/view/report_exchange.cpp
+++ b/src/core/view/report_exchange.cpp
@@ -15,7 +15,7 @@
 /// its zone have news. At the maximum number of rows that is 50 KB/s, 4% of a weak host's link of
 /// 10 Mbit/s.
 constexpr std::int64_t newsMessagesPerSecond = 75;
-constexpr std::size_t maxNewsRows = 32; ///< for suspected upstreams, and again for owned ones
+constexpr std::size_t maxNewsRows = 32; ///< suspected, owned, unacknowledging: each
 
 /// Indirect ejections in one report of a large fleet: of upstreams whose trials another host owns.
 /// They are reported in rotation: 1,000 upstreams of a lost zone within 16 reports.
