Review: open flows are reset after a zone's hosts were removed

A host takes the silence of all hosts of a zone as proof that the zone's upstreams are dead. When they are stopped for good, each request datagram that the network loses ends its flow at a living upstream.

--- /dev/null
+++ b/review/standins-2/main.cpp
@@ -0,0 +1,86 @@
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include "world.h"
+
+namespace {
+
+using namespace review;
+
+constexpr int ruleHeld = 0;
+constexpr int ruleBroken = 1;
+constexpr int cannotRun = 2;
+
+const char *const zone = "leoben";
+
+/// Plays for @p seconds of traffic, which @p plan prepares.
+int play(std::ostream &record, const world_settings &settings, double seconds,
+         const std::function<void(event_loop &, world &)> &plan)
+{
+    event_loop loop;
+    world played(loop, settings, record);
+    played.start([&] {
+        plan(loop, played);
+        loop.after(seconds, [&] { played.stopTraffic(); });
+        loop.after(seconds + 3, [&] { loop.stop(); });
+    });
+    loop.run();
+    played.writeSummary();
+    if (!played.isSound()) {
+        played.note("the deployment did not serve; no result");
+        return cannotRun;
+    }
+    return played.violationCount() > 0 ? ruleBroken : ruleHeld;
+}
+
+/// All hosts of one zone are removed in turn, as planned work. The targets of the zone stay.
+int removeHostsOfZone(std::ostream &record, std::uint64_t seed, bool isDisrupted)
+{
+    world_settings settings;
+    settings.seed = seed;
+    return play(record, settings, 45, [&](event_loop &loop, world &played) {
+        const std::vector<std::size_t> targets = played.targetsOf(zone, "order-desk");
+        for (unsigned number = 0; number < 43; ++number) {
+            loop.after(1.0 * number + 1, [&played, target = targets[number % targets.size()]] {
+                played.loseNextRequestTo(target);
+            });
+        }
+        double at = 8;
+        for (const std::size_t host : played.hostsOf(zone)) {
+            if (isDisrupted) {
+                loop.after(at, [&played, host] { played.removeHost(host); });
+            }
+            at += 1.3;
+        }
+    });
+}
+
+} // namespace
+
+/// Arguments: the case, the file for the record, and 0 to leave out the disruption.
+int main(int argc, char **argv)
+{
+    if (argc != 4) {
+        std::cerr << "usage: review-standins-2 CASE RECORD TROUBLE\n";
+        return cannotRun;
+    }
+    std::ofstream record(argv[2]);
+    const std::string name = argv[1];
+    const bool isDisrupted = std::string(argv[3]) != "0";
+    const char *seedText = std::getenv("SEED");
+    const std::uint64_t seed =
+        seedText == nullptr ? std::uint64_t(time(nullptr)) : std::strtoull(seedText, nullptr, 10);
+    record << "case " << name << ", seed " << seed << ", " << (isDisrupted ? "with" : "without")
+           << " the disruption\n";
+    try {
+        if (name == "remove-hosts-of-zone") {
+            return removeHostsOfZone(record, seed, isDisrupted);
+        }
+        std::cerr << "unknown case " << name << "\n";
+    } catch (const std::exception &error) {
+        record << "cannot run: " << error.what() << "\n";
+        std::cerr << "cannot run: " << error.what() << "\n";
+    }
+    return cannotRun;
+}
