Review: hosts with an older configuration reset open flows on new routes

A host that does not know a route yet resets packets of open flows on it, which another host with the newer configuration has opened. Changes too large for one message reach the other hosts 0.6 s late.

--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -77,6 +77,43 @@
     });
 }
 
+/// The network loses datagrams in pairs: two requests to the same target in succession, as when a
+/// link is full for a moment. Without the disruption it loses as many, one at a time.
+int loseInPairs(std::ostream &record, std::uint64_t seed, bool isDisrupted)
+{
+    world_settings settings;
+    settings.seed = seed;
+    return play(record, settings, 45, [&](event_loop &loop, world &played) {
+        const std::vector<std::size_t> targets = played.targetsOf("", "order-desk");
+        for (unsigned number = 0; number < 40; ++number) {
+            const unsigned turn = isDisrupted ? number / 2 : number;
+            loop.after(5 + (isDisrupted ? 2.0 : 1.0) * turn,
+                       [&played, target = targets[turn % targets.size()]] {
+                           played.loseNextRequestTo(target);
+                       });
+        }
+    });
+}
+
+/// All hosts are stopped and started in turn, as planned work, while the operator exchanges routes
+/// and clients use the new ones at once.
+int restartWhileRoutesChange(std::ostream &record, std::uint64_t seed, bool isDisrupted)
+{
+    world_settings settings;
+    settings.seed = seed;
+    settings.meanPause = 0.3;
+    settings.newRouteClientsPerZone = 30;
+    return play(record, settings, 24, [&](event_loop &loop, world &played) {
+        for (std::size_t host = 0; host < 7; ++host) {
+            const double at = 4 + 2.0 * double(host);
+            if (isDisrupted) {
+                loop.after(at, [&played, host] { played.restartHost(host); });
+            }
+            loop.after(at + 0.5, [&played] { played.exchangeRoutes(1400); });
+        }
+    });
+}
+
 } // namespace
 
 /// Arguments: the case, the file for the record, and 0 to leave out the disruption.
@@ -101,6 +138,12 @@
         if (name == "overwrite-entries") {
             return overwriteEntries(record, seed, isDisrupted);
         }
+        if (name == "lose-in-pairs") {
+            return loseInPairs(record, seed, isDisrupted);
+        }
+        if (name == "restart-while-routes-change") {
+            return restartWhileRoutesChange(record, seed, isDisrupted);
+        }
         std::cerr << "unknown case " << name << "\n";
     } catch (const std::exception &error) {
         record << "cannot run: " << error.what() << "\n";
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -41,6 +41,8 @@
     double lossShare = 0;
     double meanPause = 1; ///< of a client between two requests, in seconds
     unsigned clientsPerZone = 30;
+    /// Further clients of each zone, which use routes that were just added; see exchangeRoutes().
+    unsigned newRouteClientsPerZone = 0;
 };
 
 /// A small deployment on loopback addresses: real figstair processes, and stand-ins for the
@@ -64,6 +66,11 @@
 
     /// Stops the host with SIGTERM, and with SIGKILL after the grace period. It does not return.
     void removeHost(std::size_t host);
+    /// Stops the host in the same way. It starts again shortly after its end.
+    void restartHost(std::size_t host);
+    /// The operator writes a configuration with @p count new routes; those of the last call are
+    /// removed. As soon as the store has it, clients begin to use some of them.
+    void exchangeRoutes(unsigned count);
     /// Another writer replaces the target's entry in the store by @p value. The target writes its
     /// own again with its next heartbeat.
     void overwriteEntry(std::size_t target, const std::string &value);
@@ -96,9 +103,12 @@
     bool losesDatagram();
     std::string settingsFor(const host &of) const;
     void startHost(host &started);
+    void stopHost(std::size_t index);
+    void awaitEnd(std::size_t index, double killAt);
     void checkReadiness(std::size_t index);
     void waitUntilReady(double until, action onTraffic);
     void writeConfig();
+    sockaddr_in routeAddress() const { return address(routeGroup, 1, 0); }
     void heartbeat(std::size_t index);
     std::string entryOf(const target &of) const;
 
@@ -137,7 +147,10 @@
     unsigned m_network = 0;
     std::string m_folder;
     std::string m_template;
-    std::vector<route> m_routes;
+    static constexpr unsigned routeGroup = 5;
+    std::deque<route> m_routes; ///< in the newest configuration
+    std::uint64_t m_version = 7;
+    std::uint16_t m_nextRoutePort = 10000;
     std::unique_ptr<store> m_store;
     std::vector<std::unique_ptr<host>> m_hosts;
     std::vector<std::unique_ptr<target>> m_targets;
