Review: two lost requests to one target reset an open flow

A host takes a request that another host saw repeated within 1.5 s as proof that the upstream is dead.

--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -85,9 +85,9 @@
     settings.seed = seed;
     return play(record, settings, 45, [&](event_loop &loop, world &played) {
         const std::vector<std::size_t> targets = played.targetsOf("", "order-desk");
-        for (unsigned number = 0; number < 40; ++number) {
+        for (unsigned number = 0; number < 56; ++number) {
             const unsigned turn = isDisrupted ? number / 2 : number;
-            loop.after(5 + (isDisrupted ? 2.0 : 1.0) * turn,
+            loop.after(3 + (isDisrupted ? 1.5 : 0.75) * turn,
                        [&played, target = targets[turn % targets.size()]] {
                            played.loseNextRequestTo(target);
                        });
