Review: targets that restart while the store is down get their full load cold

Hosts learn of a cold start from the target's entry alone, unless they ejected the target; a short restart ejects it at few hosts.

--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -114,6 +114,30 @@
     });
 }
 
+/// Targets crash and start again at once under their ids, cold, while the store is down.
+int restartTargetsWithoutStore(std::ostream &record, std::uint64_t seed, bool isDisrupted)
+{
+    world_settings settings;
+    settings.seed = seed;
+    settings.opensFlowPerRequest = true;
+    settings.coldRequestsPerSecond = 4;
+    settings.clientsPerZone = 30;
+    settings.meanPause = 0.17;
+    return play(record, settings, 14, [&](event_loop &loop, world &played) {
+        if (isDisrupted) {
+            loop.after(6, [&played] { played.stopStore(4.5); });
+        }
+        // Two of 14 targets crash, three times.
+        const std::vector<std::size_t> targets = played.targetsOf("", "order-desk");
+        for (unsigned number = 0; number < 6; ++number) {
+            const std::size_t target = targets[number * 2];
+            const double at = 6.3 + 1.1 * (number / 2);
+            loop.after(at, [&played, target] { played.crashTarget(target, 0.06); });
+            loop.after(13 + 0.1 * number, [&played, target] { played.judgeColdTarget(target); });
+        }
+    });
+}
+
 } // namespace
 
 /// Arguments: the case, the file for the record, and 0 to leave out the disruption.
@@ -144,6 +168,9 @@
         if (name == "restart-while-routes-change") {
             return restartWhileRoutesChange(record, seed, isDisrupted);
         }
+        if (name == "restart-targets-without-store") {
+            return restartTargetsWithoutStore(record, seed, isDisrupted);
+        }
         std::cerr << "unknown case " << name << "\n";
     } catch (const std::exception &error) {
         record << "cannot run: " << error.what() << "\n";
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <cstdlib>
 #include <stdexcept>
+#include <utility>
 
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -197,6 +198,10 @@
 {
     const std::string keepPath = "/figstair/kv-keep/";
     const std::string endPath = "/figstair/kv-lease-end/";
+    if (m_isDown) {
+        reply(number, 503, json::object());
+        return;
+    }
     const auto parameter = [&](const char *name) {
         const auto found = call.query.find(name);
         return found == call.query.end() ? std::string() : found->second;
@@ -352,6 +357,16 @@
     return write(key, value, 0);
 }
 
+void store::setDown(bool isDown)
+{
+    m_isDown = isDown;
+    if (isDown) {
+        for (const auto &[number, watch] : std::exchange(m_watches, {})) {
+            reply(watch.connection, 503, json::object());
+        }
+    }
+}
+
 std::string store::value(const std::string &key) const
 {
     const auto found = m_items.find(key);
@@ -383,6 +398,10 @@
 {
     for (auto item = m_leases.begin(); item != m_leases.end();) {
         const std::uint64_t number = item->first;
+        if (m_isDown) {
+            // Leases pause while the store is down.
+            item->second.endsAt += leaseCheckSeconds;
+        }
         const bool isOver = item->second.endsAt <= m_loop.now();
         ++item;
         if (isOver) {
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -23,6 +23,9 @@
     /// Writes by the operator, a target or another writer. Returns the new revision.
     std::uint64_t put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
+    /// While the store is down it answers each call of a host with 503, and takes no writes.
+    void setDown(bool isDown);
+    bool isDown() const { return m_isDown; }
     /// The value of @p key, or an empty text.
     std::string value(const std::string &key) const;
 
@@ -74,6 +77,7 @@
     void expireLeases();
 
     event_loop &m_loop;
+    bool m_isDown = false;
     int m_listener = -1;
     std::map<std::string, item> m_items;
     std::map<std::uint64_t, lease> m_leases;
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -47,6 +47,9 @@
 /// Clients use a flow for this time at most, which is below the flow-ttl-s of the platform.
 constexpr double flowUseSeconds = 45;
 constexpr unsigned maxTries = 3;
+constexpr double warmupSeconds = 2;
+constexpr double warmupOvershoot = 1.5;
+constexpr unsigned warmupSlack = 5;
 constexpr double startTimeout = 15;
 /// Routes of the configuration that always exist.
 constexpr std::size_t usualRoutes = 3;
@@ -97,7 +100,6 @@
     sockaddr_in packets{};
     sockaddr_in readiness{};
     pid_t process = 0;
-    bool wasReady = false;
     bool isInRotation = false;
     bool isRemoved = false;
     bool isEnding = false; ///< stopped, and not started again yet
@@ -109,12 +111,12 @@
     std::uint32_t opening = 0; ///< sequence number of the client's SYN
     std::uint32_t own = 0; ///< own sequence number of the SYN+ACK
     std::uint32_t next = 0; ///< next own sequence number
-    std::uint32_t acknowledged = 0; ///< by the client
     std::uint32_t expected = 0; ///< next sequence number of the client
     std::uint32_t echo = 0;
     unsigned unacknowledgedPackets = 0;
     bool isOpen = false;
     bool isEnded = false;
+    double arrivedAt = 0; ///< of the first SYN
     double openedAt = 0;
     double lastPacketAt = 0;
     std::map<std::uint32_t, std::string> sent; ///< responses by sequence number
@@ -141,6 +143,11 @@
     std::uint64_t sequence = 0;
     unsigned working = 0;
     unsigned requestsToLose = 0;
+    bool isDown = false;
+    double coldUntil = 0;
+    /// Of flows that opened while the target was cold: when the client sent its first SYN, and when
+    /// a SYN of it arrived.
+    std::vector<std::pair<double, double>> coldOpenings;
     std::deque<job> queue;
     std::map<flow_key, target_flow> flows;
 };
@@ -155,6 +162,7 @@
     std::uint32_t echo = 0;
     unsigned unacknowledgedPackets = 0;
     bool isOpen = false; ///< the client got a SYN+ACK
+    double startedAt = 0; ///< when the client sent its first SYN
     double openedAt = 0;
     double lastPacketAt = 0;
     std::string response; ///< received so far
@@ -423,7 +431,7 @@
                             {"protocol", "h1"},
                             {"tls", false},
                             {"warmup-s", 2.0},
-                            {"warmup-per-s", 0.0}});
+                            {"warmup-per-s", m_settings.coldRequestsPerSecond}});
     }
     const json limits{{"max-header-bytes", 16384},
                       {"max-body-bytes", 262144},
@@ -437,6 +445,7 @@
 
 std::string world::entryOf(const target &of) const
 {
+    const auto coldMs = std::uint64_t(std::max(0.0, of.coldUntil - m_loop.now()) * 1000);
     return nlohmann::json{
         {"service", of.service},
         {"address", addressText(ntohl(of.at.sin_addr.s_addr)) + ":" + std::to_string(targetPort)},
@@ -444,7 +453,7 @@
         {"version", "v1"},
         {"concurrency", slotsPerTarget},
         {"state", "ready"},
-        {"warmup-left-ms", 0},
+        {"warmup-left-ms", coldMs},
         {"seq", of.sequence},
         {"born", of.bornMs}}
         .dump();
@@ -454,13 +463,69 @@
 void world::heartbeat(std::size_t index)
 {
     target &writer = *m_targets[index];
+    m_loop.after(heartbeatSeconds, [this, index] { heartbeat(index); });
+    if (writer.isDown || m_store->isDown()) {
+        return;
+    }
     const std::string key = "servers/" + writer.idText;
     const std::string stored = m_store->value(key);
     if (stored.empty() || stored != entryOf(writer)) {
         ++writer.sequence;
         m_store->put(key, entryOf(writer));
     }
-    m_loop.after(heartbeatSeconds, [this, index] { heartbeat(index); });
+}
+
+void world::stopStore(double seconds)
+{
+    note("the store is down for " + std::to_string(seconds) + " s");
+    m_store->setDown(true);
+    m_loop.after(seconds, [this] {
+        note("the store is back");
+        m_store->setDown(false);
+    });
+}
+
+void world::crashTarget(std::size_t index, double seconds)
+{
+    target &crashed = *m_targets[index];
+    note("target " + crashed.idText + " crashes");
+    crashed.isDown = true;
+    crashed.flows.clear();
+    crashed.queue.clear();
+    m_loop.after(seconds, [this, index] {
+        target &started = *m_targets[index];
+        note("target " + started.idText + " starts again, cold");
+        started.isDown = false;
+        started.working = 0;
+        started.bornMs = std::uint64_t(time(nullptr)) * 1000 + 1;
+        started.sequence = 0;
+        started.coldUntil = m_loop.now() + warmupSeconds;
+        if (!m_store->isDown()) {
+            m_store->put("servers/" + started.idText, entryOf(started));
+        }
+    });
+}
+
+void world::judgeColdTarget(std::size_t index)
+{
+    const target &judged = *m_targets[index];
+    const double limit = m_settings.coldRequestsPerSecond * warmupOvershoot + double(warmupSlack);
+    std::size_t most = 0;
+    for (const auto &[start, ignored] : judged.coldOpenings) {
+        const auto isInside = [from = start](const auto &opening) {
+            return opening.first >= from && opening.second <= from + 1;
+        };
+        most = std::max(most,
+                        std::size_t(std::count_if(judged.coldOpenings.begin(),
+                                                  judged.coldOpenings.end(), isInside)));
+    }
+    note("cold target " + judged.idText + " got " + std::to_string(judged.coldOpenings.size())
+         + " requests while it was cold, at most " + std::to_string(most)
+         + " in one second; the limit is " + std::to_string(limit));
+    if (double(most) > limit) {
+        ++m_violations;
+        note("FAILBACK broken");
+    }
 }
 
 void world::overwriteEntry(std::size_t target, const std::string &value)
@@ -536,7 +601,6 @@
             note("host " + state.name + (isInRotation ? " joined" : " left") + " the rotation");
         }
         state.isInRotation = isInRotation;
-        state.wasReady = state.wasReady || isInRotation;
     };
     m_loop.watch(descriptor, [descriptor, isAnswered, finish] {
         char bytes[512];
@@ -718,6 +782,7 @@
                           ntohl(routeAddress().sin_addr.s_addr), owner.uses->port);
     opened.opening = std::uint32_t(m_random());
     opened.next = opened.opening + 1;
+    opened.startedAt = m_loop.now();
     owner.flow = opened;
     for (unsigned copy = 0; copy < 3; ++copy) {
         m_loop.after(synCopyTimes[copy], [this, index = owner.index, number = opened.number, copy] {
@@ -952,6 +1017,9 @@
     }
     owner.request = 0;
     owner.isRequestSent = false;
+    if (m_settings.opensFlowPerRequest && owner.flow) {
+        endFlow(owner);
+    }
     scheduleRequest(owner,
                     std::exponential_distribution<double>(1 / m_settings.meanPause)(m_random));
 }
@@ -977,7 +1045,7 @@
 {
     sockaddr_in from{};
     while (const auto bytes = receive(receiver.descriptor, from)) {
-        if (bytes->size() < 8 || losesDatagram()) {
+        if (bytes->size() < 8 || receiver.isDown || losesDatagram()) {
             continue;
         }
         std::uint64_t intended = 0;
@@ -1011,9 +1079,9 @@
         added.opening = received.sequence;
         added.own = std::uint32_t(m_random());
         added.next = added.own + 1;
-        added.acknowledged = added.next;
         added.expected = received.sequence + 1;
         added.echo = received.echo;
+        added.arrivedAt = m_loop.now();
         receiver.flows[key] = added;
         sendSynAck(receiver.index, key, received.sequence, 0);
         return;
@@ -1036,11 +1104,13 @@
         flow.isOpen = true;
         flow.openedAt = m_loop.now();
         ++m_counts["flows opened"];
+        if (flow.arrivedAt < receiver.coldUntil) {
+            receiver.coldOpenings.emplace_back(startOf(key), flow.arrivedAt);
+        }
     }
     flow.echo = received.echo;
     flow.lastPacketAt = m_loop.now();
     if (received.has(ackFlag) && received.acknowledged == flow.next) {
-        flow.acknowledged = flow.next;
         flow.sent.clear();
     }
     if (received.has(finFlag)) {
@@ -1155,6 +1225,15 @@
     });
 }
 
+/// When the client of @p key sent the first SYN of its present flow.
+double world::startOf(const flow_key &key) const
+{
+    const auto found = std::find_if(m_clients.begin(), m_clients.end(), [&](const auto &item) {
+        return item->flow && item->flow->key == key;
+    });
+    return found == m_clients.end() ? 0 : (*found)->flow->startedAt;
+}
+
 void world::sendFromTarget(target &from, const flow_key &flow, const target_flow &state,
                            std::uint8_t flags, std::uint32_t sequence, const std::string &data)
 {
@@ -1203,7 +1282,7 @@
     note("count requests run: " + std::to_string(m_runs.size()));
     note("count orders run more than once: " + std::to_string(doubledOrders));
     note("count requests run that nobody sent: " + std::to_string(unasked));
-    note("count FLOW broken: " + std::to_string(m_violations));
+    note("count violations: " + std::to_string(m_violations));
 }
 
 } // namespace review
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -41,6 +41,9 @@
     double lossShare = 0;
     double meanPause = 1; ///< of a client between two requests, in seconds
     unsigned clientsPerZone = 30;
+    /// Whether clients open a flow for each request, instead of keeping one open.
+    bool opensFlowPerRequest = false;
+    double coldRequestsPerSecond = 0; ///< warmup-per-s of each service
     /// Further clients of each zone, which use routes that were just added; see exchangeRoutes().
     unsigned newRouteClientsPerZone = 0;
 };
@@ -75,6 +78,11 @@
     /// own again with its next heartbeat.
     void overwriteEntry(std::size_t target, const std::string &value);
 
+    /// The store answers each call of a host with 503 for @p seconds, and targets cannot write.
+    void stopStore(double seconds);
+    /// The target crashes and starts again @p seconds later under its id, cold, without its flows.
+    void crashTarget(std::size_t target, double seconds);
+
     // Network.
 
     /// The network loses the next datagram with a new request to @p target.
@@ -85,6 +93,9 @@
     /// Target with the most open flows among @p candidates.
     std::size_t busiestOf(const std::vector<std::size_t> &candidates) const;
 
+    /// Judges FAILBACK for the target: notes the most requests that it got in one second while it
+    /// was cold, and counts a violation if the rule allows fewer.
+    void judgeColdTarget(std::size_t target);
     std::size_t violationCount() const { return m_violations; }
     /// Whether every started host is alive or was removed, and most requests were answered.
     bool isSound() const;
@@ -134,6 +145,7 @@
     void sendFromTarget(target &from, const flow_key &flow, const target_flow &state,
                         std::uint8_t flags, std::uint32_t sequence, const std::string &data);
     void sendSynAck(std::size_t target, const flow_key &flow, std::uint32_t opening, unsigned copy);
+    double startOf(const flow_key &key) const;
     void startWork(target &worker);
     void respond(std::size_t target, const flow_key &flow, std::uint32_t opening,
                  const std::string &requestId);
