Do not take the silence of a zone's hosts for dead upstreams

Cause: peer_roster::isZoneReachable() turns false 450 ms after the last message of a zone's hosts, and stays so after they left. dead_flow_resetter took it as the second source that, with one repeated request, proves an upstream dead.

Change: open flows of a zone need unacknowledged packets to its upstreams: three within 2 s, and no answer or message from the zone since the first (unreachable_zones). Silence of hosts that announced that they leave, or that the store removed, counts nowhere any more: not for the placement, not for zone_isolation. In a large fleet a zone of few hosts is not silent between two of their rare reports.

--- a/include/figstair/core/flow/dead_flow_resetter.h
+++ b/include/figstair/core/flow/dead_flow_resetter.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "figstair/core/flow/flow_context.h"
+#include "figstair/core/health/unreachable_zones.h"
 #include "figstair/core/load/flow_reuse.h"
 #include "figstair/core/load/link_backlog.h"
 
@@ -58,7 +59,8 @@
     /// Resets the open flow if its upstream is dead.
     void onSweep(const flow_id &flow, flow_record &record);
 
-    /// Judges the evidence and logs which upstreams count as dead. Call it several times a second.
+    /// Judges the evidence and logs which upstreams count as dead and which zones as unreachable.
+    /// Call it several times a second.
     void advance();
 
 private:
@@ -66,16 +68,19 @@
     std::string_view secondSourceFor(upstream_index upstream) const;
     bool isDead(upstream_index upstream) const;
     bool hasAlternative(upstream_index upstream) const;
+    void judgeZones();
     void reset(const flow_id &flow, flow_record &record, std::string_view evidence);
 
     const flow_context &m_context;
     std::uint64_t m_ownObserver;
     flow_reuse m_reuse;
     link_backlog m_link;
+    unreachable_zones m_unreachableZones;
     monotonic_time m_inputDrainedAt{};
     /// Latest time at which this host forwarded a request that was answered.
     monotonic_time m_answeredSentAt{};
     monotonic_time m_ignoreUntil{};
+    monotonic_time m_nextZoneJudgement{};
 };
 
 } // namespace figstair
--- a/include/figstair/core/health/dead_upstreams.h
+++ b/include/figstair/core/health/dead_upstreams.h
@@ -26,6 +26,10 @@
     /// The host @p observer (a hash of its name) saw data that the upstream did not acknowledge.
     void onUnacknowledged(upstream_index upstream, std::uint64_t observer, monotonic_time now);
 
+    /// The same for a packet that this host, @p self, forwarded: each one that is not acknowledged
+    /// counts, while the reports of another host count as one.
+    void onUnacknowledgedHere(upstream_index upstream, std::uint64_t self, monotonic_time now);
+
     /// Another host reported that a flow of its own got no answer from the upstream. Ejections do
     /// not count: other hosts repeat those that this host brought about.
     void onSuspectedByPeer(upstream_index upstream, monotonic_time now);
@@ -62,6 +66,27 @@
     std::vector<upstream_index> observedBy(std::uint64_t observer, monotonic_time since,
                                            std::size_t maxCount) const;
 
+    /// Unacknowledged data of one upstream that one host saw, without an answer since.
+    struct observation
+    {
+        std::uint64_t observer = 0;
+        monotonic_time firstAt{}; ///< zero: no observation
+        monotonic_time lastAt{};
+        unsigned packets = 0; ///< known to be unacknowledged; 1 for another host
+    };
+
+    /// Calls @p visit with the upstream and the observation, for each one.
+    template <typename visitor> void forEachObservation(visitor visit) const
+    {
+        for (const auto &[upstream, item] : m_records) {
+            for (const observation &seen : item.observations) {
+                if (seen.firstAt != monotonic_time{}) {
+                    visit(upstream, seen);
+                }
+            }
+        }
+    }
+
     std::size_t size() const { return m_records.size(); }
 
 private:
@@ -69,12 +94,6 @@
     /// ones.
     static constexpr std::size_t maxObservers = 8;
 
-    struct observation
-    {
-        std::uint64_t observer = 0;
-        monotonic_time firstAt{}; ///< zero: no observation
-        monotonic_time lastAt{};
-    };
     struct record
     {
         std::array<observation, maxObservers> observations;
@@ -83,6 +102,8 @@
     };
 
     record *recordFor(upstream_index upstream);
+    observation *noteUnacknowledged(upstream_index upstream, std::uint64_t observer,
+                                    monotonic_time now);
     static bool isConclusive(const record &item, monotonic_time now);
 
     std::unordered_map<upstream_index, record> m_records;
--- a/include/figstair/core/health/upstream_health.h
+++ b/include/figstair/core/health/upstream_health.h
@@ -44,6 +44,11 @@
     /// Time of the last answer of the upstream through this host; zero: none.
     monotonic_time lastLocalAnswerTime(upstream_index upstream) const;
 
+    /// Time of the last answer of the upstream that a caller acknowledged, through any host or
+    /// through this one; zero: none. Unlike the times above, flows that moved here do not count.
+    monotonic_time lastAcknowledgedTime(upstream_index upstream) const;
+    monotonic_time lastLocalAcknowledgedTime(upstream_index upstream) const;
+
     /// A flow or request got no answer from the upstream in time.
     void onTimeout(upstream_index upstream, monotonic_time now);
 
@@ -125,6 +130,8 @@
         monotonic_time lastAnswerAt{};
         monotonic_time lastLocalAnswerAt{};
         monotonic_time firstLocalAnswerAt{};
+        monotonic_time lastAcknowledgedAt{};
+        monotonic_time lastLocalAcknowledgedAt{};
         monotonic_time lastTimeoutAt{};
         monotonic_time nextTrialAt{};
         milliseconds backoff{0};
--- a/include/figstair/core/view/peer_roster.h
+++ b/include/figstair/core/view/peer_roster.h
@@ -20,14 +20,17 @@
         monotonic_time listedSince{}; ///< first listing, if it was before any message
         bool isListed = false; ///< the store lists it
         bool isLeaving = false;
+        bool isRemoved = false; ///< the store removed its record, and it sent no message since
         bool wasAlive = false; ///< at the last onHostMessage() or advance()
         double newFlowsPerSecond = 0; ///< that it last reported; 0: not known
+        std::string countedInZone; ///< zone_state::expectedHosts that includes it; empty: none
     };
 
     /// What is known of the hosts of one zone.
     struct zone_contact
     {
-        std::size_t hosts = 0; ///< without this host
+        /// Hosts from which messages are expected, see isExpected(); without this host.
+        std::size_t hosts = 0;
         /// Time of the last message since onResumed(); zero: none.
         monotonic_time lastHeardAt{};
     };
@@ -63,10 +66,20 @@
     /// Whether the last message from @p other is recent enough to count that host as alive.
     bool isAlive(const peer &other, monotonic_time now) const;
 
-    /// Whether messages from some host of @p zone arrive. True for this host's own zone, and for
-    /// zones from which none ever arrived.
+    /// Whether messages from @p other should arrive. A host that announced that it leaves, or whose
+    /// record was removed from the store, is silent for that reason.
+    static bool isExpected(const peer &other) { return !other.isLeaving && !other.isRemoved; }
+
+    /// False if messages from @p zone should arrive, but neither do they nor does its upstreams'
+    /// traffic, see onZoneAnswered(). The zone may be partitioned, or its hosts may have failed.
+    /// True for this host's own zone, for zones from which no message ever arrived, and for those
+    /// without expected hosts, whose silence shows nothing.
     bool isZoneReachable(const std::string &zone, monotonic_time now) const;
 
+    /// An upstream of @p zone answered a request through this host at @p when, so that the zone was
+    /// reachable then, whether or not its hosts are heard.
+    void onZoneAnswered(const std::string &zone, monotonic_time when);
+
     /// The hosts of @p zone, and when one of them was last heard. Unlike isZoneReachable(), tells a
     /// zone that was never heard from one that is heard now.
     zone_contact contactWith(const std::string &zone) const;
@@ -121,10 +134,21 @@
     const std::map<std::string, peer> &peers() const { return m_peers; }
 
 private:
+    struct zone_state
+    {
+        monotonic_time lastHeardAt{}; ///< last message of one of its hosts; zero: none
+        monotonic_time lastAnsweredAt{}; ///< last onZoneAnswered(); zero: none
+        std::size_t expectedHosts = 0;
+    };
+
     std::vector<endpoint> addresses(bool areLocal) const;
     void updateSameZoneCount();
     bool isPresumedAlive(const peer &other, monotonic_time now) const;
     void noteChange(const std::string &zone, monotonic_time now);
+    /// Counts @p known among the expected hosts of its zone, or no longer.
+    void updateExpectation(peer &known);
+    void stopExpecting(peer &known);
+    milliseconds silenceLimitOf(std::size_t expectedHosts) const;
     /// Whether @p other may still send flows to cold upstreams that it owns.
     bool mayUseAllowance(const peer &other, monotonic_time now) const;
     void expireOwnerCaches(monotonic_time now) const;
@@ -135,7 +159,7 @@
 
     host_record m_self;
     std::map<std::string, peer> m_peers;
-    std::unordered_map<std::string, monotonic_time> m_zoneLastHeardAt;
+    std::unordered_map<std::string, zone_state> m_zones;
     std::size_t m_sameZoneCount = 0; ///< other hosts in this host's zone
     monotonic_time m_changedAt{};
     monotonic_time m_resumedAt{}; ///< last onResumed()
--- a/src/core/flow/dead_flow_resetter.cpp
+++ b/src/core/flow/dead_flow_resetter.cpp
@@ -20,6 +20,9 @@
 /// fleet a host of another zone may learn of few of its answers.
 constexpr milliseconds verdictLifetime{2000};
 
+/// Least time between two judgements of the zones, which may go through all upstreams.
+constexpr milliseconds zoneJudgementInterval{10};
+
 /// Whether the upstream's entry was removed, and not only lost in an outage of the store.
 bool isEntryGone(const known_upstream &upstream)
 {
@@ -32,6 +35,7 @@
     : m_context(context)
     , m_ownObserver(observerOf(context.roster.self().name))
     , m_link(context.settings.linkMbps)
+    , m_unreachableZones(context.directory, context.health, context.roster)
 {
 }
 
@@ -39,6 +43,7 @@
 {
     m_ignoreUntil = now + graceAfterFreeze;
     m_context.health.deadUpstreams().clear();
+    m_unreachableZones.clear();
 }
 
 bool dead_flow_resetter::isEnabledFor(const flow_id &flow) const
@@ -65,7 +70,7 @@
     if (isEntryGone(known)) {
         return "entry_gone";
     }
-    if (!m_context.roster.isZoneReachable(known.entry.zone, now)) {
+    if (m_unreachableZones.contains(known.zone)) {
         return "zone_unreachable";
     }
     return {};
@@ -114,8 +119,12 @@
         && m_answeredSentAt >= record.requestSentAt
         && m_link.congestedUntil() < record.requestSentAt && now >= m_ignoreUntil;
     if (isUnacknowledged) {
-        m_context.health.deadUpstreams().onUnacknowledged(record.upstream, m_ownObserver, now);
+        m_context.health.deadUpstreams().onUnacknowledgedHere(record.upstream, m_ownObserver, now);
         m_context.reports.noteNews();
+        const std::uint16_t zone = m_context.directory.at(record.upstream).zone;
+        if (now >= m_nextZoneJudgement && !m_unreachableZones.contains(zone)) {
+            judgeZones();
+        }
         const bool hasAnswered =
             now - m_context.health.lastAnswerTime(record.upstream) <= recentAnswerTime;
         const std::string_view source =
@@ -172,6 +181,19 @@
         m_context.output.logEvent("upstream_dead",
                                   {{"upstream", toHex(entry.id)}, {"zone", entry.zone}});
     }
+    judgeZones();
+}
+
+void dead_flow_resetter::judgeZones()
+{
+    const monotonic_time now = m_context.clock.monotonic();
+    m_nextZoneJudgement = now + zoneJudgementInterval;
+    for (const std::uint16_t zone : m_unreachableZones.advance(now)) {
+        const std::string &name = m_context.directory.zoneName(zone);
+        m_context.output.logEvent(
+            "zone_unreachable",
+            {{"zone", name}, {"hosts", std::to_string(m_context.roster.contactWith(name).hosts)}});
+    }
 }
 
 } // namespace figstair
--- a/src/core/health/dead_upstreams.cpp
+++ b/src/core/health/dead_upstreams.cpp
@@ -23,6 +23,10 @@
 /// request that long after the last acknowledgement.
 constexpr milliseconds evidenceLifetime{10000};
 
+/// Unacknowledged packets that this host notes within this time count as one: the same burst of
+/// losses may have hit them.
+constexpr milliseconds minPacketInterval{100};
+
 /// Upstreams with evidence that are kept: those of a zone of the target size.
 constexpr std::size_t maxRecords = 4096;
 
@@ -37,12 +41,13 @@
     return m_records.size() < maxRecords ? &m_records[upstream] : nullptr;
 }
 
-void dead_upstreams::onUnacknowledged(upstream_index upstream, std::uint64_t observer,
-                                      monotonic_time now)
+dead_upstreams::observation *dead_upstreams::noteUnacknowledged(upstream_index upstream,
+                                                                std::uint64_t observer,
+                                                                monotonic_time now)
 {
     record *item = recordFor(upstream);
     if (item == nullptr) {
-        return;
+        return nullptr;
     }
     auto &observations = item->observations;
     auto found =
@@ -53,10 +58,33 @@
         found = std::min_element(
             observations.begin(), observations.end(),
             [](const observation &a, const observation &b) { return a.lastAt < b.lastAt; });
-        *found = observation{observer, now, now};
+        *found = observation{observer, now, now, 1};
     } else {
         found->lastAt = std::max(found->lastAt, now);
     }
+    return &*found;
+}
+
+void dead_upstreams::onUnacknowledged(upstream_index upstream, std::uint64_t observer,
+                                      monotonic_time now)
+{
+    noteUnacknowledged(upstream, observer, now);
+}
+
+void dead_upstreams::onUnacknowledgedHere(upstream_index upstream, std::uint64_t self,
+                                          monotonic_time now)
+{
+    const auto found = m_records.find(upstream);
+    monotonic_time previous{};
+    if (found != m_records.end()) {
+        for (const observation &seen : found->second.observations) {
+            previous = seen.observer == self ? seen.lastAt : previous;
+        }
+    }
+    observation *seen = noteUnacknowledged(upstream, self, now);
+    if (seen != nullptr && previous != monotonic_time{} && now - previous >= minPacketInterval) {
+        ++seen->packets;
+    }
 }
 
 void dead_upstreams::onSuspectedByPeer(upstream_index upstream, monotonic_time now)
@@ -88,6 +116,7 @@
             seen = observation{};
         } else {
             seen.firstAt = std::max(seen.firstAt, when);
+            seen.packets = 1;
             isEvidenceLeft = true;
         }
     }
--- a/src/core/health/upstream_health.cpp
+++ b/src/core/health/upstream_health.cpp
@@ -90,6 +90,8 @@
     record &item = at(upstream);
     item.lastAnswerAt = now;
     item.lastLocalAnswerAt = now;
+    item.lastAcknowledgedAt = now;
+    item.lastLocalAcknowledgedAt = now;
     if (item.firstLocalAnswerAt == monotonic_time{}) {
         item.firstLocalAnswerAt = now;
     }
@@ -113,6 +115,7 @@
 {
     record &item = at(upstream);
     item.lastAnswerAt = std::max(item.lastAnswerAt, when);
+    item.lastAcknowledgedAt = std::max(item.lastAcknowledgedAt, when);
     m_deadUpstreams.onAnswered(upstream, when);
 }
 
@@ -126,6 +129,17 @@
     return upstream < m_records.size() ? m_records[upstream].lastLocalAnswerAt : monotonic_time{};
 }
 
+monotonic_time upstream_health::lastAcknowledgedTime(upstream_index upstream) const
+{
+    return upstream < m_records.size() ? m_records[upstream].lastAcknowledgedAt : monotonic_time{};
+}
+
+monotonic_time upstream_health::lastLocalAcknowledgedTime(upstream_index upstream) const
+{
+    return upstream < m_records.size() ? m_records[upstream].lastLocalAcknowledgedAt
+                                       : monotonic_time{};
+}
+
 void upstream_health::onTimeout(upstream_index upstream, monotonic_time now)
 {
     record &item = at(upstream);
--- a/src/core/view/peer_roster.cpp
+++ b/src/core/view/peer_roster.cpp
@@ -25,7 +25,8 @@
 constexpr int missedReportLimit = 4;
 constexpr milliseconds minSilenceTimeout{450};
 
-/// In a large fleet, a zone counts as unreachable after this time without a message from its hosts.
+/// In a large fleet, a zone counts as silent after this time without a message from its hosts, or
+/// after missedReportLimit mean times between their reports if those come more rarely.
 constexpr milliseconds zoneSilenceTimeout{700};
 
 /// How long a host that the store does not list stays known after its last message.
@@ -66,14 +67,18 @@
         peer &known = position->second;
         known.listedSince = isNew ? now : known.listedSince;
         known.isListed = true;
+        known.isRemoved = false;
         // The store's order decides, not the incarnation, which comes from the host's clock.
         known.entry = *entry;
+        updateExpectation(known);
         updateSameZoneCount();
         return;
     }
     const auto found = m_peers.find(change.name);
     if (found != m_peers.end()) {
         found->second.isListed = false;
+        found->second.isRemoved = std::holds_alternative<record_change::removed>(change.content);
+        updateExpectation(found->second);
     }
 }
 
@@ -86,7 +91,11 @@
         }
     }
     for (auto &[name, known] : m_peers) {
-        known.isListed = known.isListed && listedNames.count(name) != 0;
+        if (known.isListed && listedNames.count(name) == 0) {
+            known.isListed = false;
+            known.isRemoved = true;
+            updateExpectation(known);
+        }
     }
 }
 
@@ -124,8 +133,10 @@
     known.wasAlive = true;
     known.entry = host;
     known.lastHeardAt = now;
-    m_zoneLastHeardAt[host.zone] = now;
+    m_zones[host.zone].lastHeardAt = now;
     known.isLeaving = isLeaving;
+    known.isRemoved = false;
+    updateExpectation(known);
     if (isNew) {
         updateSameZoneCount();
     }
@@ -149,6 +160,9 @@
         }
         const bool isForgotten =
             !item->second.isListed && now - item->second.lastHeardAt > unlistedPeerLifetime;
+        if (isForgotten) {
+            stopExpecting(item->second);
+        }
         item = isForgotten ? m_peers.erase(item) : std::next(item);
     }
     updateSameZoneCount();
@@ -262,20 +276,62 @@
     if (zone == m_self.zone) {
         return true;
     }
-    const auto found = m_zoneLastHeardAt.find(zone);
-    return found == m_zoneLastHeardAt.end()
-        || now - found->second <= (isLargeFleet() ? zoneSilenceTimeout : minSilenceTimeout);
+    const auto found = m_zones.find(zone);
+    if (found == m_zones.end() || found->second.lastHeardAt == monotonic_time{}
+        || found->second.expectedHosts == 0) {
+        return true;
+    }
+    const zone_state &state = found->second;
+    return now - std::max(state.lastHeardAt, state.lastAnsweredAt)
+        <= silenceLimitOf(state.expectedHosts);
+}
+
+milliseconds peer_roster::silenceLimitOf(std::size_t expectedHosts) const
+{
+    if (!isLargeFleet()) {
+        return minSilenceTimeout;
+    }
+    // Each host sends one report per interval to the hosts of all other zones, in turn.
+    const std::size_t receivers = m_peers.size() + 1 - expectedHosts;
+    const milliseconds meanInterval =
+        largeFleetInterval * static_cast<std::int64_t>(receivers / expectedHosts);
+    return meanInterval <= zoneSilenceTimeout ? zoneSilenceTimeout
+                                              : meanInterval * missedReportLimit;
+}
+
+void peer_roster::onZoneAnswered(const std::string &zone, monotonic_time when)
+{
+    monotonic_time &last = m_zones[zone].lastAnsweredAt;
+    last = std::max(last, when);
+}
+
+void peer_roster::updateExpectation(peer &known)
+{
+    stopExpecting(known);
+    if (isExpected(known)) {
+        known.countedInZone = known.entry.zone;
+        ++m_zones[known.countedInZone].expectedHosts;
+    }
+}
+
+void peer_roster::stopExpecting(peer &known)
+{
+    if (!known.countedInZone.empty()) {
+        --m_zones[known.countedInZone].expectedHosts;
+        known.countedInZone.clear();
+    }
 }
 
 peer_roster::zone_contact peer_roster::contactWith(const std::string &zone) const
 {
     zone_contact contact;
     contact.hosts = static_cast<std::size_t>(
-        std::count_if(m_peers.begin(), m_peers.end(),
-                      [&](const auto &item) { return item.second.entry.zone == zone; }));
-    const auto found = m_zoneLastHeardAt.find(zone);
-    if (found != m_zoneLastHeardAt.end() && found->second >= m_resumedAt) {
-        contact.lastHeardAt = found->second;
+        std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+            return item.second.entry.zone == zone && isExpected(item.second);
+        }));
+    const auto found = m_zones.find(zone);
+    if (found != m_zones.end() && found->second.lastHeardAt >= m_resumedAt) {
+        contact.lastHeardAt = found->second.lastHeardAt;
     }
     return contact;
 }
--- a/tests/core/entry_parts_test.cpp
+++ b/tests/core/entry_parts_test.cpp
@@ -135,6 +135,64 @@
     CHECK(times.handshakeTimeout() < milliseconds(60));
 }
 
+// Guards against a zone that counts as unreachable for good because its hosts left.
+TEST_CASE("peer_roster: the last host of a zone leaves or is removed: the zone stays reachable")
+{
+    peer_roster roster(host_record{"me", "z", {}, 1});
+    const host_record other{"a", "y", {}, 5};
+    record_change change;
+    change.kind = record_kind::host;
+    change.name = other.name;
+    change.content = other;
+    roster.apply(change, ms(0));
+    CHECK(roster.onHostMessage(other, false, ms(0)));
+    REQUIRE_FALSE(roster.isZoneReachable("y", ms(600)));
+    REQUIRE(roster.contactWith("y").hosts == 1);
+    SUBCASE("it says that it leaves")
+    {
+        roster.onHostMessage(other, true, ms(10));
+    }
+    SUBCASE("its record is removed")
+    {
+        change.content = record_change::removed{};
+        roster.apply(change, ms(10));
+    }
+    SUBCASE("a listing lacks its record")
+    {
+        roster.retain({});
+    }
+    CHECK(roster.isZoneReachable("y", ms(600)));
+    CHECK(roster.contactWith("y").hosts == 0);
+    roster.advance(ms(11000));
+    CHECK(roster.isZoneReachable("y", ms(11000)));
+    // It starts again.
+    CHECK(roster.onHostMessage(host_record{"a", "y", {}, 6}, false, ms(12000)));
+    CHECK_FALSE(roster.isZoneReachable("y", ms(12600)));
+}
+
+// Guards against a zone whose upstreams serve counting as unreachable because its hosts crashed.
+TEST_CASE("peer_roster: a zone's hosts are silent, its upstreams answer: reachable")
+{
+    peer_roster roster(host_record{"me", "z", {}, 1});
+    roster.onHostMessage(host_record{"a", "y", {}, 5}, false, ms(0));
+    roster.onZoneAnswered("y", ms(500));
+    CHECK(roster.isZoneReachable("y", ms(900)));
+    CHECK_FALSE(roster.isZoneReachable("y", ms(1000)));
+}
+
+// Guards against a zone of few hosts counting as unreachable between their rare reports.
+TEST_CASE("peer_roster: a zone has one host of 40: reachable for several of its report intervals")
+{
+    peer_roster roster(host_record{"me", "z", {}, 1});
+    for (unsigned index = 0; index < 38; ++index) {
+        roster.onHostMessage(host_record{"h" + std::to_string(index), "z", {}, 5}, false, ms(0));
+    }
+    roster.onHostMessage(host_record{"a", "y", {}, 5}, false, ms(0));
+    const std::int64_t cycle = 39 * 150;
+    CHECK(roster.isZoneReachable("y", ms(3 * cycle)));
+    CHECK_FALSE(roster.isZoneReachable("y", ms(4 * cycle + 1)));
+}
+
 TEST_CASE("peer_roster: a host is heard once: alive at first, then silent, finally removed")
 {
     peer_roster roster(host_record{"me", "z", {}, 1});
--- a/tests/core/flow_placer_test.cpp
+++ b/tests/core/flow_placer_test.cpp
@@ -126,6 +126,22 @@
     CHECK(idOf(choose(1.5).upstream) > 3);
 }
 
+// Guards against a zone that gets hardly any flows, for good, because its hosts left.
+TEST_CASE_FIXTURE(two_zones,
+                  "flow_placer: all hosts of a zone left: its upstreams get flows as before")
+{
+    roster.onHostMessage(host_record{"h2", "there", {}, 1}, false, now);
+    roster.onHostMessage(host_record{"h2", "there", {}, 1}, true, now);
+    now += milliseconds(2000);
+    roster.advance(now);
+    for (const std::uint64_t id : {1U, 2U, 3U}) {
+        addOpenRequests(id, 3);
+    }
+    for (int step = 0; step < 20; ++step) {
+        CHECK(idOf(choose(2.5).upstream) > 3);
+    }
+}
+
 TEST_CASE_FIXTURE(two_zones, "flow_placer: all upstreams ejected: saturated, since they may return")
 {
     for (std::uint64_t id = 1; id <= 6; ++id) {
--- a/tests/core/zone_isolation_test.cpp
+++ b/tests/core/zone_isolation_test.cpp
@@ -333,6 +333,17 @@
     CHECK_FALSE(isolation.isInRotation());
 }
 
+// Guards against hosts that take a zone for partitioned because its hosts were stopped.
+TEST_CASE_FIXTURE(isolated_host,
+                  "zone_isolation: all hosts of the zone with the usable upstream left: stays")
+{
+    serveFromOtherZone();
+    roster.onHostMessage(host_record{"h3", "z2", {}, 1}, true, now);
+    run(5000, false);
+    CHECK(isolation.isInRotation());
+    CHECK(changes.empty());
+}
+
 TEST_CASE_FIXTURE(isolated_host, "zone_isolation: switched off: stays, or joins at once")
 {
     serveFromOtherZone();
