Do not take an unknown route for a dropped one

Cause: entry_core ended any flow whose route its own configuration lacks. A host that restarted, that waits for a large change or reads the store later lacks routes that other hosts have.

Change: an open flow without a route ends only if the configuration in force is known to be at least as new as the one by which the flow was placed (config_currency): this host placed it, or the store confirmed the view after the flow was first seen, no host reported a newer configuration, and the stored one could be read and applied. Until then its packets follow their tag. A new flow on an unknown route gets no answer while a host that is behind catches up, and a repeated SYN none at all, since another host may have placed the first. Resets for a dropped route are logged, packets without a route that are forwarded are counted.

--- a/include/figstair/core/flow/entry_core.h
+++ b/include/figstair/core/flow/entry_core.h
@@ -79,7 +79,7 @@
     /// given up by their callers.
     void onFreeze(milliseconds gap);
 
-    /// Notes that the view of the store was current at @p asOf.
+    /// Notes that the view of the store was current and complete at @p asOf.
     void onViewConfirmed(monotonic_time asOf);
 
     /// Whether SYNs are dropped because the view of the store is not yet confirmed after a long
@@ -121,6 +121,9 @@
 private:
     void acceptConfig(const record_change &change);
     void onSubsequentPacket(const flow_packet &packet, byte_view bytes);
+    /// Whether a configuration dropped the route of the flow of @p packet, for which this host has
+    /// none: it may also be one that this host does not know yet.
+    bool wasRouteDropped(const flow_packet &packet);
     void endFlowWithoutRoute(const flow_packet &packet);
     /// The upstream of the flow that @p packet is part of, or noUpstream. @p record is the record
     /// of that flow, or nullptr.
@@ -141,6 +144,7 @@
     const clock_source &m_clock;
     entry_output &m_output;
     route_table m_routes;
+    config_currency m_configCurrency;
     upstream_directory m_directory;
     load_board m_loads;
     upstream_health m_health;
--- a/include/figstair/core/flow/entry_output.h
+++ b/include/figstair/core/flow/entry_output.h
@@ -15,6 +15,7 @@
     packetsMalformed,
     packetsReflected, ///< SYN-ACKs from the callers' side, dropped
     packetsWithoutRoute,
+    packetsAwaitingConfig, ///< on a route that this host may not know yet
     packetsWithUnknownTag,
     packetsBeforeConfig, ///< SYNs dropped because no configuration is loaded
     packetsStale, ///< SYNs dropped after a long freeze
--- a/include/figstair/core/flow/flow_context.h
+++ b/include/figstair/core/flow/flow_context.h
@@ -8,6 +8,7 @@
 #include "figstair/core/load/outstanding_work.h"
 #include "figstair/core/load/request_cost.h"
 #include "figstair/core/load/service_times.h"
+#include "figstair/core/view/config_currency.h"
 #include "figstair/core/view/peer_roster.h"
 #include "figstair/core/view/report_exchange.h"
 #include "figstair/core/view/route_table.h"
@@ -22,6 +23,7 @@
     const clock_source &clock;
     entry_output &output;
     route_table &routes;
+    const config_currency &configCurrency;
     upstream_directory &directory;
     load_board &loads;
     upstream_health &health;
--- a/include/figstair/core/view/view_feed.h
+++ b/include/figstair/core/view/view_feed.h
@@ -75,6 +75,9 @@
     /// Relayed changes could not be applied: the next call lists the store.
     void requireListing() { m_needsListing = true; }
 
+    /// Whether the store has to be listed, because the view may lack changes up to its position.
+    bool needsListing() const { return m_needsListing; }
+
     /// Whether to request missing changes from another host now. Returning true starts the interval
     /// to the next request.
     bool takeDuePull(monotonic_time now);
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -104,6 +104,7 @@
     void applyNewerListing(const store_records &listing, std::uint64_t after);
     void applyRecords(const store_records &listing);
     void requestViewFromSeeds(monotonic_time now);
+    void confirmView();
     void applyChanges(const std::vector<record_change> &records);
     std::vector<record_change> recordsToRelay(const std::vector<record_change> &records) const;
     void addToHistory(std::uint64_t after, std::uint64_t revision,
--- a/src/core/flow/entry_core.cpp
+++ b/src/core/flow/entry_core.cpp
@@ -85,9 +85,9 @@
     , m_flows(settings.maxFlows)
     , m_costs(settings.placementByWork)
     , m_openWork(m_costs)
-    , m_context{m_settings,     m_clock,  m_output,   m_routes,         m_directory,
-                m_loads,        m_health, m_roster,   m_reports,        m_flows,
-                m_serviceTimes, m_costs,  m_openWork, clock.monotonic()}
+    , m_context{m_settings,  m_clock,        m_output, m_routes,   m_configCurrency,
+                m_directory, m_loads,        m_health, m_roster,   m_reports,
+                m_flows,     m_serviceTimes, m_costs,  m_openWork, clock.monotonic()}
     , m_silence(m_context)
     , m_deadFlows(m_context)
     , m_isolation(m_routes, m_directory, m_roster, m_loads, m_health)
@@ -124,6 +124,20 @@
     }
 }
 
+bool entry_core::wasRouteDropped(const flow_packet &packet)
+{
+    const flow_record *record = m_flows.find(packet.flow);
+    if (record == nullptr || !record->contains(packet)) {
+        return false; // first seen now, so the configuration may be older
+    }
+    if (record->wasForwarded) {
+        return true; // this host placed the flow, not by a newer configuration than its own
+    }
+    const bool isEstablished =
+        record->phase == flow_phase::open || record->phase == flow_phase::closed;
+    return isEstablished && m_configCurrency.isCurrentFor(record->openingSentAt);
+}
+
 void entry_core::endFlowWithoutRoute(const flow_packet &packet)
 {
     m_output.count(entry_counter::packetsWithoutRoute, 1);
@@ -133,6 +147,10 @@
         m_flows.erase(packet.flow);
     }
     if (!packet.isRst) {
+        m_output.logEvent("flow_reset",
+                          {{"flow", toText(packet.flow)},
+                           {"reason", "route_dropped"},
+                           {"config", std::to_string(configVersion())}});
         m_output.reset(packet.flow, packet.acknowledged);
     }
 }
@@ -155,8 +173,11 @@
 void entry_core::onSubsequentPacket(const flow_packet &packet, byte_view bytes)
 {
     if (m_routes.isLoaded() && m_routes.find(packet.flow) == nullptr) {
-        endFlowWithoutRoute(packet);
-        return;
+        if (wasRouteDropped(packet)) {
+            endFlowWithoutRoute(packet);
+            return;
+        }
+        m_output.count(entry_counter::packetsAwaitingConfig, 1);
     }
     flow_record *record = m_flows.find(packet.flow);
     const bool isOtherFlow = record != nullptr && !record->contains(packet);
@@ -423,6 +444,7 @@
 
 void entry_core::onViewConfirmed(monotonic_time asOf)
 {
+    m_configCurrency.onViewConfirmed(asOf);
     if (asOf >= m_resumedAt) {
         m_isResuming = false;
     }
@@ -499,14 +521,20 @@
 {
     const std::uint64_t previousVersion = configVersion();
     bool isAccepted = false;
+    if (std::holds_alternative<record_change::unreadable>(change.content)) {
+        m_configCurrency.onConfigUnreadable();
+        return;
+    }
     if (const auto *config = std::get_if<route_config>(&change.content)) {
         isAccepted = m_routes.accept(*config);
+        m_configCurrency.onConfigRead(configVersion()); // accepted or not
     } else if (const auto *patch = std::get_if<config_patch>(&change.content)) {
         isAccepted = m_routes.accept(*patch);
     }
     if (!isAccepted) {
         return;
     }
+    m_configCurrency.onConfigRead(configVersion());
     m_output.count(entry_counter::configsAccepted, 1);
     m_output.logEvent("config_accepted",
                       {{"config", std::to_string(configVersion())},
@@ -561,6 +589,7 @@
 void entry_core::onPeerReport(const peer_report &report, const store_position &ownView)
 {
     m_output.count(entry_counter::peerMessagesReceived, 1);
+    m_configCurrency.onPeerVersion(report.configVersion, m_clock.monotonic());
     m_reports.onReport(report, ownView, m_clock.monotonic());
 }
 
--- a/src/core/flow/entry_output.cpp
+++ b/src/core/flow/entry_output.cpp
@@ -10,6 +10,7 @@
     "packets_malformed",
     "packets_reflected",
     "packets_without_route",
+    "packets_awaiting_config",
     "packets_with_unknown_tag",
     "packets_before_config",
     "packets_stale",
--- a/src/core/flow/flow_opener.cpp
+++ b/src/core/flow/flow_opener.cpp
@@ -60,19 +60,28 @@
 void flow_opener::onOpening(const flow_packet &packet, byte_view bytes)
 {
     const route *route = m_context.routes.find(packet.flow);
+    const monotonic_time now = m_context.clock.monotonic();
+    // The acknowledgement number of a SYN holds its retransmission count.
+    const std::size_t count = flow_refuser::scheduleIndex(packet.acknowledged);
+    flow_record *existing = m_context.flows.find(packet.flow);
     if (route == nullptr) {
-        m_refuser.refuseWithoutRoute(packet.flow);
+        const bool wasPlacedHere = existing != nullptr && existing->wasForwarded
+            && existing->openingSequence == packet.sequence;
+        // By a newer configuration, another host may have placed an earlier copy, or this host may
+        // soon be able to place a later one.
+        const bool mayBeAdded = count > 0 || m_context.configCurrency.isCatchingUp(now);
+        if (!wasPlacedHere && mayBeAdded) {
+            m_context.output.count(entry_counter::packetsAwaitingConfig, 1);
+        } else {
+            m_refuser.refuseWithoutRoute(packet.flow);
+        }
         return;
     }
-    const monotonic_time now = m_context.clock.monotonic();
-    flow_record *existing = m_context.flows.find(packet.flow);
     if (existing != nullptr && existing->openingSequence != packet.sequence) {
         m_context.stopAwaitingAnswer(*existing);
         m_context.flows.erase(packet.flow);
         existing = nullptr;
     }
-    // The acknowledgement number of a SYN holds its retransmission count.
-    const std::size_t count = flow_refuser::scheduleIndex(packet.acknowledged);
     flow_record &record = existing != nullptr ? *existing : m_context.insertFlow(packet.flow);
     if (existing == nullptr) {
         record.openingSequence = packet.sequence;
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -222,6 +222,15 @@
                             {"revision", std::to_string(m_feed.position().revision)}});
 }
 
+/// Tells the core how current its view is, unless changes that the view counts as known could not
+/// be applied.
+void store_session::confirmView()
+{
+    if (!m_feed.needsListing()) {
+        m_core.onViewConfirmed(m_feed.confirmedAt());
+    }
+}
+
 void store_session::applyChanges(const std::vector<record_change> &records)
 {
     m_core.keepLapsedUntil(m_feed.lapseGraceEnd());
@@ -299,7 +308,7 @@
                             {"records", std::to_string(listing.records.size())},
                             {"first", isFirst ? "1" : "0"}});
     offerKeyIfMissing(listing.records);
-    m_core.onViewConfirmed(m_feed.confirmedAt());
+    confirmView();
     tick();
 }
 
@@ -391,7 +400,7 @@
     recordSuccess();
     const std::vector<record_change> relayed = recordsToRelay(events.records);
     applyChanges(events.records);
-    m_core.onViewConfirmed(m_feed.confirmedAt());
+    confirmView();
     if (events.revision > after) {
         addToHistory(after, events.revision, relayed);
     }
@@ -430,7 +439,7 @@
         applyChanges(changes.records);
         addToHistory(std::max(before, changes.after), changes.revision, changes.records);
     }
-    m_core.onViewConfirmed(m_feed.confirmedAt());
+    confirmView();
 }
 
 void store_session::onPull(const view_pull &pull)
@@ -516,7 +525,7 @@
         m_newerPeerZone = report.sender.zone;
     }
     m_feed.onPeerView(position, report.viewAge + maxMessageDelay(), m_clock.monotonic());
-    m_core.onViewConfirmed(m_feed.confirmedAt());
+    confirmView();
 }
 
 void store_session::announceIfMissing(const std::vector<record_change> &listing)
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -997,3 +997,35 @@
     }
     CHECK(store->markedZones.size() == 1);
 }
+
+// Guards against a view that counts as current although its configuration is older than the
+// store's.
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: a relayed configuration does not fit the one in force: the view "
+                  "is not confirmed before a listing")
+{
+    route_config config;
+    config.version = 1;
+    record_change change;
+    change.revision = 10;
+    change.content = config;
+    start(20, {change});
+    core->onFreeze(milliseconds(2000));
+    REQUIRE(core->isResuming());
+    config_patch patch;
+    patch.baseVersion = 7;
+    patch.changed.version = 9;
+    change.revision = 21;
+    change.content = patch;
+    session->onRelayedChanges({20, 21, milliseconds(0), milliseconds(0), {change}});
+    CHECK(core->isResuming());
+    REQUIRE(core->configVersion() == 1);
+    failWatch(store_error::reason::unreachable);
+    advance(200);
+    REQUIRE(core->isResuming());
+    config.version = 9;
+    change.content = config;
+    answerList(21, {change});
+    CHECK_FALSE(core->isResuming());
+    CHECK(core->configVersion() == 9);
+}
