Do not take an unreadable entry for a removed one

Cause: "not listed, and not lost in an outage" was taken for "gone", and an upstream with an unreadable entry is not listed.

Change: an upstream counts as gone only if the store removed its entry outside an outage (known_upstream::wasRemoved). One with an unreadable entry takes no new flows and keeps its open ones, also if that entry then expires in an outage.

Measured: the test "the entry of the upstream cannot be read" fails in its three variants on the code before (3 resets each), and holds now.

--- a/src/core/flow/dead_flow_resetter.cpp
+++ b/src/core/flow/dead_flow_resetter.cpp
@@ -23,12 +23,6 @@
 /// Least time between two judgements of the zones, which may go through all upstreams.
 constexpr milliseconds zoneJudgementInterval{10};
 
-/// Whether the upstream's entry was removed, and not only lost in an outage of the store.
-bool isEntryGone(const known_upstream &upstream)
-{
-    return !upstream.isListed && !upstream.hasLapsed;
-}
-
 } // namespace
 
 dead_flow_resetter::dead_flow_resetter(const flow_context &context)
@@ -67,7 +61,7 @@
     if (m_context.health.deadUpstreams().hasPeerEvidence(upstream, m_ownObserver, now)) {
         return "other_hosts";
     }
-    if (isEntryGone(known)) {
+    if (known.wasRemoved) {
         return "entry_gone";
     }
     if (m_unreachableZones.contains(known.zone)) {
@@ -80,7 +74,7 @@
 {
     const dead_upstreams &evidence = m_context.health.deadUpstreams();
     return evidence.isDead(upstream)
-        || (evidence.hasUnacknowledged(upstream) && isEntryGone(m_context.directory.at(upstream)));
+        || (evidence.hasUnacknowledged(upstream) && m_context.directory.at(upstream).wasRemoved);
 }
 
 /// Whether another upstream of the service may take new flows, by what this host knows.
--- a/src/core/view/upstream_directory.cpp
+++ b/src/core/view/upstream_directory.cpp
@@ -130,6 +130,7 @@
     upstream.zone = zoneNumber(entry->zone);
     upstream.isListed = true;
     upstream.hasLapsed = false;
+    upstream.wasRemoved = false;
     if (entry->coldFor > milliseconds::zero()) {
         upstream.coldUntil = std::max(upstream.coldUntil, now + entry->coldFor + coldMargin);
     }
@@ -220,12 +221,13 @@
 
 void upstream_directory::remove(known_upstream &upstream, monotonic_time now)
 {
-    const bool isLapse = now < m_lapseGraceEnd && upstream.isListed;
-    if (isLapse && !upstream.entry.isDraining) {
+    const bool isLapse = now < m_lapseGraceEnd && !upstream.wasRemoved;
+    if (isLapse && !upstream.entry.isDraining && upstream.isListed) {
         upstream.isLapsing = true;
         m_hasLapsing = true;
     } else {
         upstream.hasLapsed = upstream.hasLapsed || isLapse;
+        upstream.wasRemoved = !upstream.hasLapsed;
         unlist(upstream, now);
     }
 }
--- a/tests/core/dead_flow_resetter_test.cpp
+++ b/tests/core/dead_flow_resetter_test.cpp
@@ -302,6 +302,59 @@
     CHECK(output.resets == 1);
 }
 
+// Guards against open flows that are reset because another writer replaced the entry of their
+// upstream, which lives and writes it again.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: a request is repeated, the entry of the upstream cannot be read: "
+                  "neither this flow nor idle ones are reset")
+{
+    record_change odd = changeOf(entryOf(1), 200);
+    odd.content = record_change::unreadable{"no address"};
+    SUBCASE("a change")
+    {
+        core.onRecordChange(odd);
+    }
+    SUBCASE("a listing")
+    {
+        std::vector<record_change> listing{odd};
+        for (std::uint64_t id = 2; id <= 4; ++id) {
+            listing.push_back(changeOf(entryOf(id), 50 + id));
+        }
+        core.onListing(listing, 200);
+    }
+    SUBCASE("its store fails, and it lapses as well")
+    {
+        core.onRecordChange(odd);
+        core.keepLapsedUntil(clock.monotonic() + milliseconds(2200));
+        record_change gone = changeOf(entryOf(1), 201);
+        gone.content = record_change::removed{};
+        core.onRecordChange(gone);
+    }
+    send(1, 1, 3000);
+    run(200);
+    send(1);
+    run(400);
+    send(1);
+    run(400);
+    CHECK(output.resets == 0);
+}
+
+// Guards against a dead upstream whose flows stay open because its last entry could not be read.
+TEST_CASE_FIXTURE(host_with_open_flow,
+                  "dead flows: a request is repeated, the entry could not be read and was removed "
+                  "then: reset")
+{
+    record_change change = changeOf(entryOf(1), 200);
+    change.content = record_change::unreadable{"no address"};
+    core.onRecordChange(change);
+    change.revision = 201;
+    change.content = record_change::removed{};
+    core.onRecordChange(change);
+    run(200);
+    send(1);
+    CHECK(output.resets == 1);
+}
+
 // Guards against an outage of the store that ends flows: entries lapse, their upstreams live.
 TEST_CASE_FIXTURE(host_with_open_flow,
                   "dead flows: a request is repeated, the entry lapses with the store: not reset")
