Do not take two lost requests for a dead upstream

An upstream with few requests gives no answer in between that would refute the evidence.

Cause: one unacknowledged packet that another host reported, or an unanswered SYN of its callers, was the second source that proves an upstream dead.

Change: three packets must be unacknowledged without an answer in between, at least one of them seen by another host: two other hosts, or another host and a second repetition here. SYNs count no longer, as docs/design/dead-flows.md said before.

--- a/include/figstair/core/health/dead_upstreams.h
+++ b/include/figstair/core/health/dead_upstreams.h
@@ -30,10 +30,6 @@
     /// counts, while the reports of another host count as one.
     void onUnacknowledgedHere(upstream_index upstream, std::uint64_t self, monotonic_time now);
 
-    /// Another host reported that a flow of its own got no answer from the upstream. Ejections do
-    /// not count: other hosts repeat those that this host brought about.
-    void onSuspectedByPeer(upstream_index upstream, monotonic_time now);
-
     /// The upstream answered through any host at about @p when.
     void onAnswered(upstream_index upstream, monotonic_time when);
 
@@ -51,8 +47,9 @@
     /// evidence stays, and several hosts have to agree again.
     void endVerdicts(monotonic_time before);
 
-    /// Whether another host than @p self has evidence against the upstream since its last answer.
-    bool hasPeerEvidence(upstream_index upstream, std::uint64_t self, monotonic_time now) const;
+    /// Whether enough packets were lost at the upstream since its last answer, some of them
+    /// recently seen by another host than @p self, that they are no losses of the network.
+    bool isConfirmedByPeers(upstream_index upstream, std::uint64_t self, monotonic_time now) const;
 
     /// Whether any host saw unacknowledged data since the last answer.
     bool hasUnacknowledged(upstream_index upstream) const;
@@ -97,7 +94,6 @@
     struct record
     {
         std::array<observation, maxObservers> observations;
-        monotonic_time suspectedByPeerAt{};
         bool isDead = false;
     };
 
--- a/src/core/flow/dead_flow_resetter.cpp
+++ b/src/core/flow/dead_flow_resetter.cpp
@@ -58,7 +58,7 @@
 {
     const known_upstream &known = m_context.directory.at(upstream);
     const monotonic_time now = m_context.clock.monotonic();
-    if (m_context.health.deadUpstreams().hasPeerEvidence(upstream, m_ownObserver, now)) {
+    if (m_context.health.deadUpstreams().isConfirmedByPeers(upstream, m_ownObserver, now)) {
         return "other_hosts";
     }
     if (known.wasRemoved) {
--- a/src/core/health/dead_upstreams.cpp
+++ b/src/core/health/dead_upstreams.cpp
@@ -15,9 +15,13 @@
 constexpr milliseconds agreementWindow{2000};
 constexpr milliseconds minEvidenceTime{400};
 
-/// A suspicion by another host counts this long. In a large fleet each host of a zone hears the
+/// Unacknowledged packets, without an answer in between, that confirm the loss of one more. The
+/// network loses one now and then, and an upstream with few requests may lose two in a row.
+constexpr unsigned minPackets = 3;
+
+/// What hosts saw counts this long towards them. In a large fleet each host of a zone hears the
 /// others about once a second.
-constexpr milliseconds suspicionLifetime{1500};
+constexpr milliseconds peerEvidenceLifetime{1500};
 
 /// Evidence is forgotten after this time, unless the upstream counts as dead. No caller repeats a
 /// request that long after the last acknowledgement.
@@ -87,13 +91,6 @@
     }
 }
 
-void dead_upstreams::onSuspectedByPeer(upstream_index upstream, monotonic_time now)
-{
-    if (record *item = recordFor(upstream)) {
-        item->suspectedByPeerAt = now;
-    }
-}
-
 void dead_upstreams::onAnswered(upstream_index upstream, monotonic_time when)
 {
     if (m_records.empty()) {
@@ -107,10 +104,7 @@
     // Reports of answers may arrive after the evidence of what came later, which then remains.
     // Whether the upstream is dead is judged again by this rest.
     item.isDead = false;
-    if (item.suspectedByPeerAt <= when) {
-        item.suspectedByPeerAt = {};
-    }
-    bool isEvidenceLeft = item.suspectedByPeerAt != monotonic_time{};
+    bool isEvidenceLeft = false;
     for (observation &seen : item.observations) {
         if (seen.lastAt <= when) {
             seen = observation{};
@@ -147,7 +141,7 @@
             item.isDead = true;
             died.push_back(entry->first);
         }
-        monotonic_time lastAt = item.suspectedByPeerAt;
+        monotonic_time lastAt{};
         for (const observation &seen : item.observations) {
             lastAt = std::max(lastAt, seen.lastAt);
         }
@@ -157,22 +151,22 @@
     return died;
 }
 
-bool dead_upstreams::hasPeerEvidence(upstream_index upstream, std::uint64_t self,
-                                     monotonic_time now) const
+bool dead_upstreams::isConfirmedByPeers(upstream_index upstream, std::uint64_t self,
+                                        monotonic_time now) const
 {
     const auto found = m_records.find(upstream);
     if (found == m_records.end()) {
         return false;
     }
-    const record &item = found->second;
-    const bool isSuspected = item.suspectedByPeerAt != monotonic_time{}
-        && now - item.suspectedByPeerAt <= suspicionLifetime;
-    return isSuspected
-        || std::any_of(item.observations.begin(), item.observations.end(),
-                       [&](const observation &seen) {
-                           return seen.firstAt != monotonic_time{} && seen.observer != self
-                               && now - seen.lastAt <= suspicionLifetime;
-                       });
+    unsigned packets = 0;
+    bool isSeenByPeer = false;
+    for (const observation &seen : found->second.observations) {
+        if (seen.firstAt != monotonic_time{} && now - seen.lastAt <= peerEvidenceLifetime) {
+            packets += seen.packets;
+            isSeenByPeer = isSeenByPeer || seen.observer != self;
+        }
+    }
+    return isSeenByPeer && packets >= minPackets;
 }
 
 bool dead_upstreams::hasUnacknowledged(upstream_index upstream) const
--- a/src/core/health/upstream_health.cpp
+++ b/src/core/health/upstream_health.cpp
@@ -184,7 +184,6 @@
     if (now - item.lastAnswerAt <= recentAnswerAge) {
         return;
     }
-    m_deadUpstreams.onSuspectedByPeer(upstream, now);
     const bool isConfirmed = item.state.is("suspected") && isLocallySuspected(upstream, now);
     fire(item, isConfirmed ? "timeout" : "peerReport", now);
 }
