Refute a lost packet by answers that came after it was forwarded

Change: a packet counts as unacknowledged only if no answer of the upstream is known from the time after it was forwarded, and evidence is compared with answers by that time. For a second repetition the time is that of the first, no longer that of the request.

Measured: "the upstream answered through another host after the request was forwarded" fails with the condition taken out; the tests of flows at dead upstreams hold with their bounds as they were.

--- a/include/figstair/core/flow/dead_flow_resetter.h
+++ b/include/figstair/core/flow/dead_flow_resetter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 #include <string_view>
 
 #include "figstair/core/flow/flow_context.h"
@@ -51,10 +52,11 @@
     /// The process was frozen. Repeated requests that queued up meanwhile prove nothing.
     void onFreeze(monotonic_time now);
 
-    /// Handles a packet of an open flow, before it is forwarded. @p isRepeated: it repeats the
-    /// latest request, and acknowledges nothing new. Returns whether the flow was reset; the packet
-    /// must not be forwarded then.
-    bool onPacket(const flow_packet &packet, flow_record &record, bool isRepeated);
+    /// Handles a packet of an open flow, before it is forwarded. @p repeatedFrom: when the packet
+    /// that it repeats was forwarded, if it does so and acknowledges nothing new. Returns whether
+    /// the flow was reset; the packet must not be forwarded then.
+    bool onPacket(const flow_packet &packet, flow_record &record,
+                  std::optional<monotonic_time> repeatedFrom);
 
     /// Resets the open flow if its upstream is dead.
     void onSweep(const flow_id &flow, flow_record &record);
@@ -65,6 +67,9 @@
 
 private:
     bool isEnabledFor(const flow_id &flow) const;
+    /// Whether the packet that this host forwarded at @p sentAt reached no living upstream, as far
+    /// as this host can tell.
+    bool isLostAt(upstream_index upstream, monotonic_time sentAt) const;
     std::string_view secondSourceFor(upstream_index upstream) const;
     bool isDead(upstream_index upstream) const;
     bool hasAlternative(upstream_index upstream) const;
--- a/include/figstair/core/flow/entry_core.h
+++ b/include/figstair/core/flow/entry_core.h
@@ -134,8 +134,9 @@
     void adoptFlow(const flow_packet &packet, flow_record &record, upstream_index upstream);
     void recordWork(const flow_packet &packet, const flow_record &record, milliseconds answerTime);
     void recordAnswer(const flow_packet &packet, flow_record &record);
-    /// Returns whether the packet repeats the latest request and acknowledges nothing new.
-    bool recordRequest(const flow_packet &packet, flow_record &record);
+    /// Returns when the latest request was last forwarded, if the packet repeats it and
+    /// acknowledges nothing new.
+    std::optional<monotonic_time> recordRequest(const flow_packet &packet, flow_record &record);
     void sweepFlows();
     void sweepRoster();
     void updateRotation();
--- a/include/figstair/core/flow/flow_table.h
+++ b/include/figstair/core/flow/flow_table.h
@@ -49,6 +49,7 @@
     monotonic_time firstOpeningAt{};
     monotonic_time openingSentAt{}; ///< when the SYN was forwarded
     monotonic_time requestSentAt{}; ///< when the unanswered request was forwarded
+    monotonic_time dataSentAt{}; ///< when the latest data was forwarded, repetitions included
     monotonic_time lastPacketAt{};
     /// While held: held_flow::number of its entry. Entries with another one are of earlier flows
     /// with the same addresses and ports.
--- a/include/figstair/core/health/dead_upstreams.h
+++ b/include/figstair/core/health/dead_upstreams.h
@@ -26,9 +26,10 @@
     /// The host @p observer (a hash of its name) saw data that the upstream did not acknowledge.
     void onUnacknowledged(upstream_index upstream, std::uint64_t observer, monotonic_time now);
 
-    /// The same for a packet that this host, @p self, forwarded: each one that is not acknowledged
-    /// counts, while the reports of another host count as one.
-    void onUnacknowledgedHere(upstream_index upstream, std::uint64_t self, monotonic_time now);
+    /// The same for a packet that this host, @p self, forwarded at @p sentAt: each one that is not
+    /// acknowledged counts, while the reports of another host count as one.
+    void onUnacknowledgedHere(upstream_index upstream, std::uint64_t self, monotonic_time sentAt,
+                              monotonic_time now);
 
     /// The upstream answered through any host at about @p when.
     void onAnswered(upstream_index upstream, monotonic_time when);
@@ -69,6 +70,7 @@
         std::uint64_t observer = 0;
         monotonic_time firstAt{}; ///< zero: no observation
         monotonic_time lastAt{};
+        monotonic_time sentAt{}; ///< of the latest packet; lastAt for another host
         unsigned packets = 0; ///< known to be unacknowledged; 1 for another host
     };
 
--- a/src/core/flow/dead_flow_resetter.cpp
+++ b/src/core/flow/dead_flow_resetter.cpp
@@ -98,22 +98,28 @@
     return false;
 }
 
-bool dead_flow_resetter::onPacket(const flow_packet &packet, flow_record &record, bool isRepeated)
+/// The packet may have been lost in this host's link if the link was congested, or if no later
+/// request was answered. If the upstream answered since, the network lost the packet.
+bool dead_flow_resetter::isLostAt(upstream_index upstream, monotonic_time sentAt) const
+{
+    return m_inputDrainedAt - sentAt >= minUnacknowledgedTime && m_answeredSentAt >= sentAt
+        && m_link.congestedUntil() < sentAt && m_context.clock.monotonic() >= m_ignoreUntil
+        && m_context.health.lastAcknowledgedTime(upstream) < sentAt;
+}
+
+bool dead_flow_resetter::onPacket(const flow_packet &packet, flow_record &record,
+                                  std::optional<monotonic_time> repeatedFrom)
 {
     const bool isEvidenceKnown = m_context.health.deadUpstreams().size() > 0;
-    if ((!isRepeated && !isEvidenceKnown) || packet.isFin || packet.isRst
+    if ((!repeatedFrom && !isEvidenceKnown) || packet.isFin || packet.isRst
         || !isEnabledFor(packet.flow)) {
         return false;
     }
     const monotonic_time now = m_context.clock.monotonic();
-    // The request may have been lost in this host's link if the link was congested, or if no later
-    // request was answered.
-    const bool isUnacknowledged = isRepeated
-        && m_inputDrainedAt - record.requestSentAt >= minUnacknowledgedTime
-        && m_answeredSentAt >= record.requestSentAt
-        && m_link.congestedUntil() < record.requestSentAt && now >= m_ignoreUntil;
+    const bool isUnacknowledged = repeatedFrom && isLostAt(record.upstream, *repeatedFrom);
     if (isUnacknowledged) {
-        m_context.health.deadUpstreams().onUnacknowledgedHere(record.upstream, m_ownObserver, now);
+        m_context.health.deadUpstreams().onUnacknowledgedHere(record.upstream, m_ownObserver,
+                                                              *repeatedFrom, now);
         m_context.reports.noteNews();
         const std::uint16_t zone = m_context.directory.at(record.upstream).zone;
         if (now >= m_nextZoneJudgement && !m_unreachableZones.contains(zone)) {
--- a/src/core/flow/entry_core.cpp
+++ b/src/core/flow/entry_core.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -205,11 +206,11 @@
         onHandshakeCompleted(packet, *record, upstream);
     }
     recordAnswer(packet, *record);
-    const bool isRepeated = recordRequest(packet, *record);
+    const std::optional<monotonic_time> repeatedFrom = recordRequest(packet, *record);
     record->lastSequence = packet.sequence;
     record->lastAcknowledged = packet.isAck ? packet.acknowledged : record->lastAcknowledged;
     record->lastPacketAt = m_clock.monotonic();
-    if (m_deadFlows.onPacket(packet, *record, isRepeated)) {
+    if (m_deadFlows.onPacket(packet, *record, repeatedFrom)) {
         return;
     }
     forward(bytes, record->upstream);
@@ -322,17 +323,20 @@
     }
 }
 
-bool entry_core::recordRequest(const flow_packet &packet, flow_record &record)
+std::optional<monotonic_time> entry_core::recordRequest(const flow_packet &packet,
+                                                        flow_record &record)
 {
     if (packet.payloadBytes == 0) {
-        return false;
+        return std::nullopt;
     }
     const monotonic_time now = m_clock.monotonic();
     if (record.hasSentData && packet.sequence == record.lastDataSequence) {
         if (record.awaitsAnswer) {
             m_silence.onRequestRepeated(packet.flow, record);
         }
-        return packet.acknowledged == record.acknowledgedAtRequest;
+        const monotonic_time previousAt = std::exchange(record.dataSentAt, now);
+        return packet.acknowledged == record.acknowledgedAtRequest ? std::make_optional(previousAt)
+                                                                   : std::nullopt;
     }
     if (!record.hasSentData || packet.acknowledged != record.acknowledgedAtRequest) {
         m_deadFlows.onRequest(packet.flow);
@@ -341,12 +345,13 @@
     record.lastDataSequence = packet.sequence;
     record.acknowledgedAtRequest = packet.acknowledged;
     record.requestSentAt = now;
+    record.dataSentAt = now;
     if (record.awaitsAnswer) {
         m_context.restartRequest(record);
     } else if (record.phase == flow_phase::open) {
         m_context.startAwaitingAnswer(packet.flow, record);
     }
-    return false;
+    return std::nullopt;
 }
 
 void entry_core::tick()
--- a/src/core/health/dead_upstreams.cpp
+++ b/src/core/health/dead_upstreams.cpp
@@ -62,9 +62,10 @@
         found = std::min_element(
             observations.begin(), observations.end(),
             [](const observation &a, const observation &b) { return a.lastAt < b.lastAt; });
-        *found = observation{observer, now, now, 1};
+        *found = observation{observer, now, now, now, 1};
     } else {
         found->lastAt = std::max(found->lastAt, now);
+        found->sentAt = found->lastAt;
     }
     return &*found;
 }
@@ -76,7 +77,7 @@
 }
 
 void dead_upstreams::onUnacknowledgedHere(upstream_index upstream, std::uint64_t self,
-                                          monotonic_time now)
+                                          monotonic_time sentAt, monotonic_time now)
 {
     const auto found = m_records.find(upstream);
     monotonic_time previous{};
@@ -86,6 +87,9 @@
         }
     }
     observation *seen = noteUnacknowledged(upstream, self, now);
+    if (seen != nullptr) {
+        seen->sentAt = sentAt;
+    }
     if (seen != nullptr && previous != monotonic_time{} && now - previous >= minPacketInterval) {
         ++seen->packets;
     }
@@ -106,7 +110,7 @@
     item.isDead = false;
     bool isEvidenceLeft = false;
     for (observation &seen : item.observations) {
-        if (seen.lastAt <= when) {
+        if (seen.sentAt <= when) {
             seen = observation{};
         } else {
             seen.firstAt = std::max(seen.firstAt, when);
--- a/src/core/health/unreachable_zones.cpp
+++ b/src/core/health/unreachable_zones.cpp
@@ -35,7 +35,7 @@
         [&](upstream_index upstream, const dead_upstreams::observation &seen) {
             const std::uint16_t zone = m_directory.at(upstream).zone;
             const monotonic_time start = since.empty() ? monotonic_time{} : since[zone];
-            if (seen.lastAt <= start || now - seen.lastAt > evidenceWindow) {
+            if (seen.sentAt <= start || now - seen.lastAt > evidenceWindow) {
                 return;
             }
             evidence &item = byZone[zone];
--- a/tests/core/dead_flow_resetter_test.cpp
+++ b/tests/core/dead_flow_resetter_test.cpp
@@ -249,6 +249,16 @@
         receiveReport("h3", "here", {answered});
         run(10);
     }
+    SUBCASE("the upstream answered through another host after the request was forwarded")
+    {
+        run(60);
+        load_row answered;
+        answered.tag = upstreamTag(1);
+        answered.hasAnswered = true;
+        receiveReport("h3", "here", {answered});
+        run(140);
+        reportLosses(1);
+    }
     SUBCASE("both copies waited in the socket of this host")
     {
         clock.advance(milliseconds(300));
--- a/tests/core/dead_upstreams_test.cpp
+++ b/tests/core/dead_upstreams_test.cpp
@@ -130,14 +130,14 @@
     "an answer")
 {
     dead_upstreams evidence;
-    evidence.onUnacknowledgedHere(testUpstream, 1, ms(0));
+    evidence.onUnacknowledgedHere(testUpstream, 1, ms(0), ms(0));
     evidence.onUnacknowledged(testUpstream, 2, ms(0));
     evidence.onUnacknowledged(testUpstream, 2, ms(100)); // the same, reported again
-    evidence.onUnacknowledgedHere(testUpstream, 1, ms(99)); // of the same burst
+    evidence.onUnacknowledgedHere(testUpstream, 1, ms(99), ms(99)); // of the same burst
     CHECK_FALSE(evidence.isConfirmedByPeers(testUpstream, 1, ms(100)));
     SUBCASE("by a repetition")
     {
-        evidence.onUnacknowledgedHere(testUpstream, 1, ms(400));
+        evidence.onUnacknowledgedHere(testUpstream, 1, ms(400), ms(400));
     }
     SUBCASE("by a third host")
     {
@@ -154,7 +154,7 @@
 {
     dead_upstreams evidence;
     for (std::int64_t time = 0; time < 2000; time += 200) {
-        evidence.onUnacknowledgedHere(testUpstream, 1, ms(time));
+        evidence.onUnacknowledgedHere(testUpstream, 1, ms(time), ms(time));
         CHECK_FALSE(evidence.isConfirmedByPeers(testUpstream, 1, ms(time)));
     }
 }
@@ -165,7 +165,7 @@
     dead_upstreams evidence;
     for (upstream_index upstream = 0; upstream < 100000; ++upstream) {
         evidence.onUnacknowledged(upstream, 1, ms(0));
-        evidence.onUnacknowledgedHere(upstream, 2, ms(0));
+        evidence.onUnacknowledgedHere(upstream, 2, ms(0), ms(0));
     }
     CHECK(evidence.size() <= 4096);
     evidence.advance(ms(10001));
