--- a/include/figstair/core/view/config_currency.h
+++ b/include/figstair/core/view/config_currency.h
@@ -23,7 +23,8 @@
     /// Another host reports that it has configuration @p version.
     void onPeerVersion(std::uint64_t version, monotonic_time now);
 
-    /// Whether the configuration in force is at least as new as any by which a flow that was open at
+    /// Whether the configuration in force is at least as new as any by which a flow that was open
+    /// at
     /// @p time was placed. If so, and the configuration lacks the route of such a flow, a
     /// configuration dropped it.
     bool isCurrentFor(monotonic_time time) const;
--- a/include/figstair/core/view/upstream_directory.h
+++ b/include/figstair/core/view/upstream_directory.h
@@ -35,8 +35,8 @@
     bool isLapsing = false;
     /// Unlisted by an outage of the store, which does not mean that it stopped.
     bool hasLapsed = false;
-    /// The store removed its entry, and not in an outage. An entry that cannot be read shows nothing
-    /// about the upstream.
+    /// The store removed its entry, and not in an outage. An entry that cannot be read shows
+    /// nothing about the upstream.
     bool wasRemoved = false;
     /// The last change is from before the store was restored from an older copy.
     bool isFromEarlierEpoch = false;
