--- a/tests/core/entry_parts_test.cpp
+++ b/tests/core/entry_parts_test.cpp
@@ -188,7 +188,7 @@
         roster.onHostMessage(host_record{"h" + std::to_string(index), "z", {}, 5}, false, ms(0));
     }
     roster.onHostMessage(host_record{"a", "y", {}, 5}, false, ms(0));
-    const std::int64_t cycle = 39 * 150;
+    const std::int64_t cycle = std::int64_t(39) * 150;
     CHECK(roster.isZoneReachable("y", ms(3 * cycle)));
     CHECK_FALSE(roster.isZoneReachable("y", ms(4 * cycle + 1)));
 }
