Do not renew evidence of another host by its repeated reports

A host repeats its report of an unacknowledged packet for a second. Each copy renewed the time that answers are compared with, so evidence from before an answer could outlive it, and in the judgement of a zone whose hosts are silent it counted although an upstream there had answered since. Found by reading. The time of the packet is now that of the first report.

Measured: a new test of dead_upstreams fails without the change by the code as read (not run without it); the unit tests hold with it.

--- a/include/figstair/core/health/dead_upstreams.h
+++ b/include/figstair/core/health/dead_upstreams.h
@@ -70,7 +70,9 @@
         std::uint64_t observer = 0;
         monotonic_time firstAt{}; ///< zero: no observation
         monotonic_time lastAt{};
-        monotonic_time sentAt{}; ///< of the latest packet; lastAt for another host
+        /// When the latest packet was forwarded. For another host, which repeats its reports, when
+        /// it first reported.
+        monotonic_time sentAt{};
         unsigned packets = 0; ///< known to be unacknowledged; 1 for another host
     };
 
--- a/src/core/health/dead_upstreams.cpp
+++ b/src/core/health/dead_upstreams.cpp
@@ -65,7 +65,6 @@
         *found = observation{observer, now, now, now, 1};
     } else {
         found->lastAt = std::max(found->lastAt, now);
-        found->sentAt = found->lastAt;
     }
     return &*found;
 }
--- a/tests/core/dead_upstreams_test.cpp
+++ b/tests/core/dead_upstreams_test.cpp
@@ -149,6 +149,18 @@
     CHECK_FALSE(evidence.isConfirmedByPeers(testUpstream, 1, ms(402)));
 }
 
+// Guards against evidence that outlives an answer because another host repeats its report of it.
+TEST_CASE("dead_upstreams: another host repeats its report, the upstream answered after the first: "
+          "no evidence")
+{
+    dead_upstreams evidence;
+    for (std::int64_t time = 0; time <= 300; time += 100) {
+        evidence.onUnacknowledged(testUpstream, 2, ms(time));
+    }
+    evidence.onAnswered(testUpstream, ms(200));
+    CHECK(evidence.size() == 0);
+}
+
 // Guards against a host that loses its own packets, and takes that for the death of the upstream.
 TEST_CASE("dead_upstreams: this host alone sees losses, however many: not confirmed")
 {
