--- a/review/standins-3/cold_case.cpp
+++ b/review/standins-3/cases.cpp
@@ -147,6 +147,44 @@
     return judge(scene, start);
 }
 
+/// Another writer puts an entry without `version` and `seq` under the key of a server. It names the
+/// other service, and no target to use.
+int runForeignEntry(bool hasTrouble)
+{
+    world::settings settings;
+    settings.zones = {{"graz-nord", 3}, {"graz-sued", 2}, {"leoben", 2}};
+    settings.requestsPerSecond = 60;
+    settings.catalogueShare = 0.2;
+    world scene(settings);
+    scene.writeConfig();
+    for (std::size_t number = 0; number < 9; ++number) {
+        scene.addServer("order-desk", settings.zones[number % 3].first).start(milliseconds(0));
+    }
+    for (const auto &[zone, hosts] : settings.zones) {
+        scene.addServer("catalogue", zone).start(milliseconds(0));
+    }
+    scene.startHosts();
+    scene.runAfter(leadTime, [&] { scene.startTraffic(); });
+    if (hasTrouble) {
+        scene.runAfter(leadTime + milliseconds(3000), [&] { scene.writeForeignEntry(); });
+    }
+    scene.runAfter(leadTime + milliseconds(10000), [&] { scene.stopTraffic(); });
+    scene.runAfter(leadTime + milliseconds(14000), [&] { scene.stop(); });
+    scene.run();
+    unsigned foreign = 0;
+    for (const auto &item : scene.servers()) {
+        foreign += item->foreignRuns;
+    }
+    scene.record("requests sent " + std::to_string(scene.sent) + ", answered "
+                 + std::to_string(scene.answered) + ", run " + std::to_string(scene.runs)
+                 + ", run by a service that no configuration allows: " + std::to_string(foreign));
+    scene.record(foreign > 0 ? "ROUTE broken" : "ROUTE held");
+    if (scene.isInterrupted || scene.answered * 4 < scene.sent) {
+        return 2;
+    }
+    return foreign > 0 ? 1 : 0;
+}
+
 int main(int argc, char **argv)
 {
     const char *trouble = std::getenv("TROUBLE");
@@ -160,6 +198,9 @@
         if (name == "cold-outage") {
             return runColdOutage(hasTrouble);
         }
+        if (name == "foreign-entry") {
+            return runForeignEntry(hasTrouble);
+        }
         std::cerr << "unknown case\n";
         return 2;
     } catch (const std::exception &error) {
--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -34,7 +34,8 @@
 constexpr std::uint8_t rstFlag = 4;
 
 constexpr std::uint32_t routeAddress = 0xC6120001; // 198.18.0.1, only named inside packets
-constexpr std::uint16_t deskPort = 443;
+constexpr std::uint16_t deskPort = 443; ///< of the route to order-desk
+constexpr std::uint16_t sheetPort = 8443; ///< of the route to catalogue
 
 constexpr milliseconds heartbeat{1200};
 constexpr milliseconds probeInterval{500};
@@ -433,6 +434,11 @@
         m_queue.pop_front();
         ++m_busySlots;
         ++requestsRun;
+        if (service != (key.routePort == sheetPort ? "catalogue" : "order-desk")) {
+            ++foreignRuns;
+            m_owner.record("server " + text() + " of " + service + " runs a request of route /"
+                           + std::to_string(key.routePort) + "/: " + from.data);
+        }
         ++m_owner.runs;
         const double spread = std::uniform_real_distribution<>(0.5, 1.5)(m_owner.random());
         const auto time = milliseconds(static_cast<std::int64_t>(
@@ -568,24 +574,50 @@
 
 void world::writeConfig()
 {
-    const json route{{"name", "r-desk"}, {"host", "198.18.0.1"},    {"prefix", "/443/"},
-                     {"type", "unsafe"}, {"timeout-ms", 4000},      {"aim-ms", 250},
-                     {"priority", 1},    {"service", "order-desk"}, {"max-attempts", 2}};
-    const json service{{"name", "order-desk"},
-                       {"health-path", "/health"},
-                       {"max-conns", 2000},
-                       {"protocol", "h1"},
-                       {"tls", false},
-                       {"warmup-s", double(m_settings.warmup.count()) / 1000},
-                       {"warmup-per-s", m_settings.warmupPerSecond}};
+    json routes = json::array();
+    json services = json::array();
+    const auto add = [&](const char *service, std::uint16_t port, const char *type) {
+        routes.push_back(json{{"name", std::string("r-") + service},
+                              {"host", "198.18.0.1"},
+                              {"prefix", "/" + std::to_string(port) + "/"},
+                              {"type", type},
+                              {"timeout-ms", requestDeadline.count()},
+                              {"aim-ms", 250},
+                              {"priority", 1},
+                              {"service", service},
+                              {"max-attempts", 2}});
+        services.push_back(json{{"name", service},
+                                {"health-path", "/health"},
+                                {"max-conns", 2000},
+                                {"protocol", "h1"},
+                                {"tls", false},
+                                {"warmup-s", double(m_settings.warmup.count()) / 1000},
+                                {"warmup-per-s", m_settings.warmupPerSecond}});
+    };
+    add("order-desk", deskPort, "unsafe");
+    add("catalogue", sheetPort, "download");
     m_store->put("op/config",
                  json{{"version", m_version += 3},
-                      {"routes", json::array({route})},
-                      {"services", json::array({service})},
+                      {"routes", routes},
+                      {"services", services},
                       {"limits", json{{"idle-timeout-ms", 15000}}}}
                      .dump());
 }
 
+void world::writeForeignEntry()
+{
+    const server &named = *m_servers.front();
+    record("another writer puts an entry without version and seq for " + named.text());
+    m_store->put("servers/" + named.text(),
+                 json{{"service", "catalogue"},
+                      {"address", named.address.to_string() + ":" + std::to_string(m_serverPort)},
+                      {"zone", named.zone},
+                      {"concurrency", m_settings.slots},
+                      {"state", "ready"},
+                      {"warmup-left-ms", 0}}
+                     .dump());
+}
+
 void world::startHosts()
 {
     for (std::size_t index = 0; index < m_hosts.size(); ++index) {
@@ -704,7 +736,9 @@
     item->tries = tries;
     item->clientZone = zone;
     side.nextPort = side.nextPort < 60000 ? side.nextPort + 1 : 20000;
-    item->flow = flow_key{side.address, side.nextPort, deskPort};
+    const bool isSheet =
+        std::uniform_real_distribution<>(0, 1)(m_random) < m_settings.catalogueShare;
+    item->flow = flow_key{side.address, side.nextPort, isSheet ? sheetPort : deskPort};
     item->sequence = static_cast<std::uint32_t>(m_random());
     item->firstSentAt = clock::now();
     m_attempts[item->flow] = item;
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -125,6 +125,7 @@
     clock::time_point coldUntil{};
     std::vector<opening> coldOpenings; ///< flows opened by a SYN that arrived while it was cold
     unsigned requestsRun = 0;
+    unsigned foreignRuns = 0; ///< of requests that the configuration sends to another service
 
 private:
     struct flow
@@ -190,6 +191,7 @@
         unsigned slots = 4;
         milliseconds work{55};
         double requestsPerSecond = 100; ///< in each zone
+        double catalogueShare = 0; ///< of the requests; the rest goes to order-desk
     };
 
     explicit world(settings what);
@@ -217,6 +219,7 @@
     void startTraffic();
     void stopTraffic() { m_isSending = false; }
     void writeConfig();
+    void writeForeignEntry();
 
     udp::endpoint clientEndpoint(std::uint32_t client) const;
     std::uint16_t packetPort() const { return m_packetPort; }
