--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -81,7 +81,7 @@
 {
     world::settings settings;
     settings.zones = {{"graz-nord", 3}, {"graz-sued", 2}, {"leoben", 2}};
-    settings.requestsPerSecond = 130;
+    settings.requestsPerSecond = 160;
     world scene(settings);
     const clock::time_point start = clock::now();
     scene.writeConfig();
@@ -99,7 +99,7 @@
     if (hasTrouble) {
         // 0.4 of 7 hosts: graz-sued-1, graz-sued-2 and leoben-1.
         for (std::size_t number = 0; number < 3; ++number) {
-            scene.runAfter(growth + milliseconds(3000) + milliseconds(1000) * number,
+            scene.runAfter(growth + milliseconds(2600) + milliseconds(1200) * number,
                            [&scene, number] { scene.hostAt(3 + number).restart(); });
         }
     }
@@ -147,6 +147,68 @@
     return judge(scene, start);
 }
 
+/// A host is paused for less than a second, and meanwhile a server crashes and starts again, cold.
+int runPausedHost(bool hasTrouble)
+{
+    world::settings settings;
+    settings.zones = {{"graz-nord", 3}, {"graz-sued", 2}, {"leoben", 2}};
+    settings.requestsPerSecond = 300;
+    settings.work = milliseconds(25);
+    world scene(settings);
+    const clock::time_point start = clock::now();
+    scene.writeConfig();
+    for (std::size_t number = 0; number < 9; ++number) {
+        scene.addServer("order-desk", settings.zones[number % 3].first).start(milliseconds(0));
+    }
+    scene.startHosts();
+    scene.runAfter(leadTime, [&] { scene.startTraffic(); });
+    const milliseconds pause = leadTime + milliseconds(6000);
+    if (hasTrouble) {
+        scene.runAfter(pause, [&] {
+            scene.record("host " + scene.hostAt(3).name + " is stopped");
+            scene.hostAt(3).signal(SIGSTOP);
+        });
+        scene.runAfter(pause + milliseconds(900), [&] {
+            scene.record("host " + scene.hostAt(3).name + " continues");
+            scene.hostAt(3).signal(SIGCONT);
+        });
+    }
+    server &crashing = *scene.servers()[1]; // of the zone of the host
+    scene.runAfter(pause + milliseconds(200), [&] { crashing.crash(); });
+    scene.runAfter(pause + milliseconds(700), [&] { crashing.start(settings.warmup); });
+    scene.runAfter(pause + settings.warmup, [&] { scene.stopTraffic(); });
+    scene.runAfter(pause + settings.warmup + milliseconds(3000), [&] { scene.stop(); });
+    scene.run();
+    return judge(scene, start);
+}
+
+/// A server crashes, starts again at once, cold, and says so with its next heartbeat.
+int runLateEntry(bool hasTrouble)
+{
+    world::settings settings;
+    settings.zones = {{"graz-nord", 3}, {"graz-sued", 2}, {"leoben", 2}};
+    settings.requestsPerSecond = 160;
+    world scene(settings);
+    const clock::time_point start = clock::now();
+    scene.writeConfig();
+    for (std::size_t number = 0; number < 9; ++number) {
+        scene.addServer("order-desk", settings.zones[number % 3].first).start(milliseconds(0));
+    }
+    scene.startHosts();
+    scene.runAfter(leadTime, [&] { scene.startTraffic(); });
+    const milliseconds crash = leadTime + milliseconds(6000);
+    if (hasTrouble) {
+        server &crashing = *scene.servers().front();
+        scene.runAfter(crash, [&] { crashing.crash(); });
+        scene.runAfter(crash + milliseconds(60),
+                       [&] { crashing.start(settings.warmup, milliseconds(1100)); });
+    }
+    scene.runAfter(crash + settings.warmup, [&] { scene.stopTraffic(); });
+    scene.runAfter(crash + settings.warmup + milliseconds(3000), [&] { scene.stop(); });
+    scene.run();
+    return judge(scene, start);
+}
+
 /// Another writer puts an entry without `version` and `seq` under the key of a server. It names the
 /// other service, and no target to use.
 int runForeignEntry(bool hasTrouble)
@@ -198,6 +260,12 @@
         if (name == "cold-outage") {
             return runColdOutage(hasTrouble);
         }
+        if (name == "late-entry") {
+            return runLateEntry(hasTrouble);
+        }
+        if (name == "paused-host") {
+            return runPausedHost(hasTrouble);
+        }
         if (name == "foreign-entry") {
             return runForeignEntry(hasTrouble);
         }
--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -237,7 +237,7 @@
     return out.str();
 }
 
-void server::start(milliseconds coldTime)
+void server::start(milliseconds coldTime, milliseconds entryDelay)
 {
     isUp = true;
     startedAt = clock::now();
@@ -251,7 +251,7 @@
                    .count();
     m_owner.record("server " + text() + " starts, cold for " + std::to_string(coldTime.count())
                    + " ms");
-    beat(++m_incarnation);
+    m_owner.runAfter(entryDelay, [this, incarnation = ++m_incarnation] { beat(incarnation); });
 }
 
 void server::crash()
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -109,8 +109,9 @@
     server(world &owner, std::uint64_t id, std::string service, std::string zone,
            asio::ip::address_v4 address);
 
-    /// Starts a new incarnation, which stays cold for @p coldTime.
-    void start(milliseconds coldTime);
+    /// Starts a new incarnation, which stays cold for @p coldTime and writes its first entry after
+    /// @p entryDelay.
+    void start(milliseconds coldTime, milliseconds entryDelay = milliseconds(0));
     /// Ends the process: flows are lost, and packets get no answer.
     void crash();
     bool isCold() const { return clock::now() < coldUntil; }
