--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -33,7 +33,7 @@
 constexpr std::uint8_t finFlag = 8;
 constexpr std::uint8_t rstFlag = 4;
 
-constexpr std::uint32_t routeAddress = 0xC6120001; // 198.18.0.1, only named inside packets
+constexpr std::uint32_t routeAddress = 0x7F120001; // 127.18.0.1, only named inside packets
 constexpr std::uint16_t deskPort = 443; ///< of the route to order-desk
 constexpr std::uint16_t sheetPort = 8443; ///< of the route to catalogue
 
@@ -578,7 +578,7 @@
     json services = json::array();
     const auto add = [&](const char *service, std::uint16_t port, const char *type) {
         routes.push_back(json{{"name", std::string("r-") + service},
-                              {"host", "198.18.0.1"},
+                              {"host", "127.18.0.1"},
                               {"prefix", "/" + std::to_string(port) + "/"},
                               {"type", type},
                               {"timeout-ms", requestDeadline.count()},
