Log why a host does not follow the store

Each failed read now logs its time and the bytes received and expected. A host logs when it lacks changes that others have, when it has them again, and when relayed changes do not follow its view.

--- a/include/figstair/core/flow/entry_output.h
+++ b/include/figstair/core/flow/entry_output.h
@@ -44,12 +44,16 @@
     unreadableRecords,
     storeCalls,
     storeFailures,
+    storeBytesDiscarded, ///< received of answers of the store that did not arrive as a whole
     storeRestorations, ///< new epochs of the store: it was restored from an older copy
     logLinesDropped,
     reportBytesSent, ///< periodic load and health reports, to other hosts
     newsBytesSent, ///< reports sent before they were due
     viewBytesSent, ///< store records, to other hosts
     peerBytesReceived,
+    relaysOversized, ///< messages with store records that are too large for other hosts to accept
+    relaysWithGap, ///< relayed changes that do not follow this host's view
+    relaysOfOtherEpoch, ///< relayed changes of another epoch of the store
     count
 };
 
@@ -61,6 +65,7 @@
     firstAnswer,
     held,
     peerMessageDelay, ///< upper bounds of how long messages from other hosts waited to be read
+    viewBehind, ///< how long this host lacked changes that another host had
     count
 };
 
--- a/include/figstair/core/view/view_feed.h
+++ b/include/figstair/core/view/view_feed.h
@@ -64,6 +64,12 @@
     /// Another host reports the position of its view and its lastReadAge().
     void onPeerView(const store_position &position, milliseconds age, monotonic_time now);
 
+    /// When the last call to the store was made.
+    monotonic_time calledAt() const { return m_calledAt; }
+
+    /// The newest position that another host reported or relayed.
+    const store_position &newestPosition() const { return m_maxPeerPosition; }
+
     /// Whether no other host has reported a newer view.
     bool isUpToDate() const { return !(m_position < m_maxPeerPosition); }
 
--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -38,6 +38,7 @@
         virtual void adoptKey(const peer_key &key) = 0;
         virtual void logEvent(std::string_view name, event_fields fields) = 0;
         virtual void count(entry_counter which, std::uint64_t amount) = 0;
+        virtual void observe(entry_distribution which, milliseconds value) = 0;
     };
 
     /// @p core, @p clock and @p sessionEnvironment must outlive this object. @p seed initialises
@@ -95,7 +96,13 @@
     void onListed(store_reply<store_records> reply);
     void onWatched(std::uint64_t after, store_reply<store_records> reply);
     void recordFailure(const char *call, const store_error &error);
+    /// Records the failure of a call that reads the view.
+    void recordReadFailure(const char *call, const store_error &error);
     void recordSuccess();
+    /// Logs when this host begins and ends to lack changes that other hosts have.
+    void updateBehind(monotonic_time now);
+    /// Counts relayed changes that do not follow this host's view, and logs some of them.
+    void recordRefusedRelay(const view_changes &changes);
     void recordRestoration(const store_position &view);
     /// Replaces the view by @p view: the first one, or one of a new epoch.
     void applyView(const store_records &view);
@@ -135,6 +142,11 @@
     endpoint m_newerPeer; ///< a host that reported a newer view, of this zone if there is one
     std::optional<monotonic_time> m_peerMessagesReadAt; ///< last onPeerMessagesRead()
     std::string m_newerPeerZone; ///< empty: no newer view was reported since the last pull
+    std::optional<monotonic_time> m_behindSince; ///< m_missedPosition is known, but not reached
+    store_position m_missedPosition;
+    bool m_isBehindLogged = false;
+    unsigned m_readFailures = 0; ///< since the last successful read
+    monotonic_time m_nextRefusalLog{};
     monotonic_time m_firstLoadedAt{};
     monotonic_time m_markDueSince{};
     monotonic_time m_nextMark{};
--- a/include/figstair/store/fleet_store.h
+++ b/include/figstair/store/fleet_store.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "figstair/core/view/fleet_records.h"
+#include "figstair/store/http_connection.h"
 
 namespace figstair {
 
@@ -23,6 +24,7 @@
     };
     reason code = reason::unreachable;
     std::string problem;
+    http_progress progress = {}; ///< of the call, if it got no complete response
 };
 
 std::string_view toText(store_error::reason code);
--- a/include/figstair/store/http_connection.h
+++ b/include/figstair/store/http_connection.h
@@ -22,11 +22,19 @@
     boost::beast::http::fields headers;
 };
 
+/// How far an HTTP request came that got no complete response.
+struct http_progress
+{
+    std::size_t receivedBytes = 0; ///< of the response's body
+    std::size_t expectedBytes = 0; ///< size of that body; 0: not known
+};
+
 /// Reports an HTTP request that got no response.
 struct http_error
 {
     std::string address;
     std::string problem;
+    http_progress progress = {};
 };
 
 using http_reply = std::variant<http_response, http_error>;
--- a/src/core/flow/entry_output.cpp
+++ b/src/core/flow/entry_output.cpp
@@ -38,16 +38,21 @@
     "unreadable_records",
     "store_calls",
     "store_failures",
+    "store_bytes_discarded",
     "store_restorations",
     "log_lines_dropped",
     "report_bytes_sent",
     "news_bytes_sent",
     "view_bytes_sent",
     "peer_bytes_received",
+    "relays_oversized",
+    "relays_with_gap",
+    "relays_of_other_epoch",
 };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(entry_distribution::count)>
-    distributionNames{"handshake_ms", "first_answer_ms", "held_ms", "peer_message_delay_ms"};
+    distributionNames{"handshake_ms", "first_answer_ms", "held_ms", "peer_message_delay_ms",
+                      "view_behind_ms"};
 
 } // namespace
 
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -163,6 +163,7 @@
             return;
         }
         const byte_buffer bytes = encodeEntryMessage(*m_peerKey, message);
+        checkSize(bytes);
         const std::vector<endpoint> targets = m_core->roster().relayTargets();
         count(entry_counter::viewBytesSent, bytes.size() * targets.size());
         for (const endpoint &target : targets) {
@@ -174,6 +175,7 @@
     {
         if (m_peerKey) {
             const byte_buffer bytes = encodeEntryMessage(*m_peerKey, message);
+            checkSize(bytes);
             count(entry_counter::viewBytesSent, bytes.size());
             sendToPeer(to, bytes);
         }
@@ -182,6 +184,7 @@
     void sendUnsigned(const endpoint &to, const unsigned_message &message) override
     {
         const byte_buffer bytes = encodeUnsigned(message);
+        checkSize(bytes);
         count(entry_counter::viewBytesSent, bytes.size());
         sendToPeer(to, bytes);
     }
@@ -211,6 +214,15 @@
         socket.non_blocking(true);
     }
 
+    /// Records a message that other hosts will not accept.
+    void checkSize(byte_view message)
+    {
+        if (message.size() > maxEntryMessageBytes) {
+            count(entry_counter::relaysOversized, 1);
+            logEvent("message_oversized", {{"bytes", std::to_string(message.size())}});
+        }
+    }
+
     void logSendError(boost::system::error_code error)
     {
         if (error) {
@@ -415,7 +427,9 @@
                   {"news_bytes", counterText(entry_counter::newsBytesSent)},
                   {"view_bytes", counterText(entry_counter::viewBytesSent)},
                   {"received_bytes", counterText(entry_counter::peerBytesReceived)},
-                  {"store_calls", counterText(entry_counter::storeCalls)}});
+                  {"store_calls", counterText(entry_counter::storeCalls)},
+                  {"store_failures", counterText(entry_counter::storeFailures)},
+                  {"relay_gaps", counterText(entry_counter::relaysWithGap)}});
     }
 
     void sendReport()
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -37,6 +37,13 @@
 constexpr milliseconds markTakeoverDelay{2000};
 constexpr milliseconds maxMarkReadAge{2500};
 
+/// A host that lacks changes of other hosts for this long logs it. Relayed changes arrive within
+/// milliseconds, and are requested again a few times a second.
+constexpr milliseconds behindLogDelay{1000};
+
+/// Interval between log lines about relayed changes that could not be applied.
+constexpr milliseconds refusalLogInterval{1000};
+
 /// Base delay after a failed announcement; a random delay of up to the same length is added.
 constexpr milliseconds announcementRetryDelay{1000};
 
@@ -122,6 +129,7 @@
         continueAnnouncing();
     }
     updateMarks(now);
+    updateBehind(now);
     m_environment.count(entry_counter::storeCalls, m_store->takeCallCount());
 }
 
@@ -202,8 +210,55 @@
     }
 }
 
+void store_session::recordReadFailure(const char *call, const store_error &error)
+{
+    ++m_readFailures;
+    m_environment.count(entry_counter::storeBytesDiscarded, error.progress.receivedBytes);
+    m_environment.logEvent(
+        "store_read_failed",
+        {{"call", call},
+         {"reason", std::string(toText(error.code))},
+         {"problem", error.problem},
+         {"failures", std::to_string(m_readFailures)},
+         {"ms", std::to_string((m_clock.monotonic() - m_feed.calledAt()).count())},
+         {"received_bytes", std::to_string(error.progress.receivedBytes)},
+         {"expected_bytes", std::to_string(error.progress.expectedBytes)}});
+    recordFailure(call, error);
+}
+
+void store_session::updateBehind(monotonic_time now)
+{
+    if (m_behindSince && !(m_feed.position() < m_missedPosition)) {
+        const milliseconds lag = now - *m_behindSince;
+        m_environment.observe(entry_distribution::viewBehind, lag);
+        if (m_isBehindLogged) {
+            m_environment.logEvent("view_caught_up",
+                                   {{"ms", std::to_string(lag.count())},
+                                    {"revision", std::to_string(m_feed.position().revision)},
+                                    {"config", std::to_string(m_core.configVersion())}});
+        }
+        m_behindSince.reset();
+        m_isBehindLogged = false;
+    }
+    if (!m_behindSince && !m_feed.isUpToDate()) {
+        m_behindSince = now;
+        m_missedPosition = m_feed.newestPosition();
+    }
+    if (m_behindSince && !m_isBehindLogged && now - *m_behindSince >= behindLogDelay) {
+        m_isBehindLogged = true;
+        m_environment.logEvent("view_behind",
+                               {{"epoch", std::to_string(m_feed.position().epoch)},
+                                {"revision", std::to_string(m_feed.position().revision)},
+                                {"missed_epoch", std::to_string(m_missedPosition.epoch)},
+                                {"missed_revision", std::to_string(m_missedPosition.revision)},
+                                {"config", std::to_string(m_core.configVersion())},
+                                {"read_failures", std::to_string(m_readFailures)}});
+    }
+}
+
 void store_session::recordSuccess()
 {
+    m_readFailures = 0;
     if (!m_isStoreReachable) {
         m_isStoreReachable = true;
         m_environment.logEvent("store_regained",
@@ -282,7 +337,7 @@
     const monotonic_time now = m_clock.monotonic();
     if (const auto *error = std::get_if<store_error>(&reply)) {
         m_feed.onFailed(false, now);
-        recordFailure("list", *error);
+        recordReadFailure("list", *error);
         return;
     }
     const auto &listing = std::get<store_records>(reply);
@@ -334,6 +389,7 @@
     const view_changes changes{after, listing.revision, m_feed.lastReadAge(now),
                                grace, relayed,          listing.epoch};
     if (encodeEntryMessage(m_environment.key(), changes).size() > maxEntryMessageBytes) {
+        m_environment.count(entry_counter::relaysOversized, 1);
         // A host that has some of the changes cannot know which others are missing.
         m_history.clear();
         return;
@@ -387,7 +443,7 @@
         if (isHistoryGone) {
             m_environment.logEvent("view_history_gone", {{"revision", std::to_string(after)}});
         } else {
-            recordFailure("watch", *error);
+            recordReadFailure("watch", *error);
         }
         tick();
         return;
@@ -438,10 +494,35 @@
                                 changes.age + maxMessageDelay(), changes.grace, now)) {
         applyChanges(changes.records);
         addToHistory(std::max(before, changes.after), changes.revision, changes.records);
+    } else {
+        recordRefusedRelay(changes);
     }
     confirmView();
 }
 
+void store_session::recordRefusedRelay(const view_changes &changes)
+{
+    const store_position &view = m_feed.position();
+    const bool isOtherEpoch = changes.epoch != view.epoch;
+    if (!m_feed.isLoaded() || (!isOtherEpoch && changes.after <= view.revision)) {
+        return; // nothing new
+    }
+    m_environment.count(
+        isOtherEpoch ? entry_counter::relaysOfOtherEpoch : entry_counter::relaysWithGap, 1);
+    const monotonic_time now = m_clock.monotonic();
+    if (now < m_nextRefusalLog) {
+        return;
+    }
+    m_nextRefusalLog = now + refusalLogInterval;
+    m_environment.logEvent("relay_refused",
+                           {{"reason", isOtherEpoch ? "other_epoch" : "gap"},
+                            {"epoch", std::to_string(view.epoch)},
+                            {"revision", std::to_string(view.revision)},
+                            {"relayed_epoch", std::to_string(changes.epoch)},
+                            {"relayed_after", std::to_string(changes.after)},
+                            {"relayed_revision", std::to_string(changes.revision)}});
+}
+
 void store_session::onPull(const view_pull &pull)
 {
     if (pull.epoch != m_feed.position().epoch) {
--- a/src/store/http_connection.cpp
+++ b/src/store/http_connection.cpp
@@ -83,6 +83,7 @@
         }
         m_currentCall = std::move(m_queue.front());
         m_queue.pop_front();
+        m_parser.reset();
         if (m_stream && !hasUnexpectedBytes()) {
             m_stream->expires_after(m_currentCall.timeout);
             write();
@@ -151,7 +152,17 @@
     void fail(beast::error_code error)
     {
         m_stream.reset();
-        deliver(http_error{toString(m_endpoint), error.message()});
+        deliver(http_error{toString(m_endpoint), error.message(), progress()});
+    }
+
+    http_progress progress() const
+    {
+        http_progress result;
+        if (m_parser && m_parser->is_header_done()) {
+            result.receivedBytes = m_parser->get().body().size();
+            result.expectedBytes = m_parser->content_length().value_or(0);
+        }
+        return result;
     }
 
     void finish()
--- a/tests/fuzz/fuzzed_host.cpp
+++ b/tests/fuzz/fuzzed_host.cpp
@@ -92,6 +92,7 @@
     void adoptKey(const peer_key &) override { }
     void logEvent(std::string_view, event_fields) override { }
     void count(entry_counter, std::uint64_t) override { }
+    void observe(entry_distribution, milliseconds) override { }
 };
 
 fuzzed_host::fuzzed_host()
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -91,7 +91,8 @@
     peer_key key() const override { return peer_key{7}; }
     void adoptKey(const peer_key &key) override { keys.push_back(key); }
     void logEvent(std::string_view name, event_fields) override { events.emplace_back(name); }
-    void count(entry_counter, std::uint64_t) override { }
+    void count(entry_counter which, std::uint64_t amount) override { counts[which] += amount; }
+    void observe(entry_distribution, milliseconds) override { }
 
     std::vector<entry_message> relayed;
     std::vector<entry_message> sentToPeers;
@@ -100,6 +101,7 @@
     std::vector<unsigned_message> unsignedSent;
     std::vector<peer_key> keys;
     std::vector<std::string> events;
+    std::map<entry_counter, std::uint64_t> counts;
 };
 
 record_change upstreamChange(std::uint64_t id, std::uint64_t revision, bool isRemoved = false)
