Read large answers of the store to their end

Callers saw routes that were served late, and requests reached upstreams that had announced to leave, after the configuration had grown.

Cause: a call to the store had one time for its whole answer, whatever the size, and a call that failed began from nothing. The answer to a watch of 5,600 routes is 1.2 MB: one second of a link of 10 Mbit/s, which was also the time-out. Such a host never read the change, nor any later one. The class: a time limit that does not grow with what has to be done in it.

The timeout of a call now ends with the first bytes of the answer. After that the call fails if nothing arrives for a second, or if the answer is slower than 64 KB a second. A server that stops answering is noticed as soon as before.

--- a/include/figstair/store/http_connection.h
+++ b/include/figstair/store/http_connection.h
@@ -51,9 +51,11 @@
     http_connection &operator=(const http_connection &) = delete;
 
     /// Queues a request; @p body is JSON text and is not sent with GET. @p timeout starts
-    /// when the request leaves the queue and includes connecting. @p handler is called once from
-    /// the event loop; the handlers of queued requests are dropped when this object is destroyed.
-    /// After a failure the server may still have processed the request.
+    /// when the request leaves the queue, includes connecting, and ends with the first bytes of the
+    /// response. The rest may take as long as its size requires: the request fails if nothing
+    /// arrives for one second, or if the response is slower than 64 KB a second. @p handler is
+    /// called once from the event loop; the handlers of queued requests are dropped when this
+    /// object is destroyed. After a failure the server may still have processed the request.
     void send(boost::beast::http::verb method, const std::string &path, const std::string &body,
               milliseconds timeout, std::function<void(http_reply)> handler);
 
--- a/src/store/http_connection.cpp
+++ b/src/store/http_connection.cpp
@@ -27,6 +27,13 @@
 constexpr int keepAliveProbeCount = 1;
 constexpr int tcpUserTimeoutMs = 1500;
 
+/// A response of which nothing arrives for this long is given up.
+constexpr milliseconds stallTimeout{1000};
+
+/// A response that stays below this rate is given up, although it makes progress. Far below the
+/// rate of the slowest links of hosts, 10 Mbit/s, which other traffic shares.
+constexpr std::size_t minBytesPerSecond = 65536;
+
 template <int name> using tcp_option = asio::detail::socket_option::integer<IPPROTO_TCP, name>;
 
 } // namespace
@@ -139,14 +146,37 @@
     {
         m_parser.emplace();
         m_parser->body_limit(maxResponseBytes);
-        http::async_read(*m_stream, m_buffer, *m_parser,
-                         [self = shared_from_this()](beast::error_code error, std::size_t) {
-                             if (error) {
-                                 self->fail(error);
-                             } else {
-                                 self->finish();
-                             }
-                         });
+        m_parser->eager(true);
+        m_receivedBytes = 0;
+        readSome();
+    }
+
+    void readSome()
+    {
+        http::async_read_some(
+            *m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+                if (error) {
+                    self->fail(error);
+                } else if (self->m_parser->is_done()) {
+                    self->finish();
+                } else {
+                    self->extendDeadline(bytes);
+                    self->readSome();
+                }
+            });
+    }
+
+    void extendDeadline(std::size_t bytes)
+    {
+        const auto now = asio::steady_timer::clock_type::now();
+        if (m_receivedBytes == 0) {
+            m_firstBytesAt = now;
+        }
+        m_receivedBytes += bytes;
+        const milliseconds timeAtMinRate(m_receivedBytes * 1000 / minBytesPerSecond);
+        m_stream->expires_at(
+            std::min(now + stallTimeout, m_firstBytesAt + stallTimeout + timeAtMinRate));
     }
 
     void fail(beast::error_code error)
@@ -194,6 +224,8 @@
     std::optional<http::response_parser<http::string_body>> m_parser;
     std::deque<call> m_queue;
     call m_currentCall;
+    std::size_t m_receivedBytes = 0; ///< of the current response
+    asio::steady_timer::time_point m_firstBytesAt; ///< of the current response
     bool m_isBusy = false;
 };
 
