Apply patches of the configuration in place

A patch copied and indexed all routes, on every host, for a change of one. Hosts with 0.027 cores forward no packets meanwhile.

The table now removes and adds the routes of the patch and counts the priorities of each service. Two routes with one name or address, which valid configurations do not have, fall back to building the table anew.

Tests: 300 random patches in a row lead to the same table as the whole configurations; a shared address. The cost is not measured by itself.

--- a/include/figstair/core/view/route_table.h
+++ b/include/figstair/core/view/route_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -21,7 +22,7 @@
     bool accept(const route_config &config);
 
     /// Applies @p patch if its base is the current version and its own version is greater. Returns
-    /// whether it did.
+    /// whether it did. The cost depends on the size of the patch, not on that of the table.
     bool accept(const config_patch &patch);
 
     bool isLoaded() const { return m_isLoaded; }
@@ -41,9 +42,21 @@
     service_limits limitsOf(const std::string &service) const;
 
 private:
-    route_config m_config;
+    /// Number of routes by priority.
+    using priority_counts = std::map<unsigned, std::size_t>;
+
+    void replace(route_config config);
+    void add(const route &entry);
+    void remove(const std::string &name);
+    void addToIndex(std::size_t index);
+    void removeFromIndex(std::size_t index);
+
+    route_config m_config; ///< patches change the order of the routes
     boost::unordered_flat_map<std::uint64_t, std::size_t> m_byAddress;
-    boost::unordered_flat_map<std::string, unsigned> m_mostUrgentPriorities; ///< by service
+    boost::unordered_flat_map<std::string, std::size_t> m_byName;
+    boost::unordered_flat_map<std::string, priority_counts> m_priorities; ///< by service
+    /// Two routes share an address or a name, so the indexes do not have all routes.
+    bool m_isAmbiguous = false;
     bool m_isLoaded = false;
 };
 
