Relay changes that are larger than a message

Callers saw routes that were served late, and requests reached upstreams that had announced to leave, after the configuration had grown by 1,400 routes.

So each host read the whole configuration from the store: up to 0.9 MB, decoded with 0.027 cores, and 1.2 MB for each of 132 hosts on the store's link. The class: the cost of a change is that of the table, for every host.

Changes of one revision that are too large form a set of messages. Configurations are split by their routes, which sets carry as packed bytes: most of the time of a weak host went into reading CBOR items. A host applies nothing before a set is complete, and keeps what it has when messages are lost, so that a repetition by any host fills the gaps.

Evidence: "store_session: the configuration grows by 1,400 routes", "a part of a large change is lost", "the history is gone while the configuration grows" and "the listing changed more than a message holds" failed before the change. The last replaces a test that stated that such a listing is not relayed; it is as strict about what other hosts end up with, and adds that they do.

--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -11,7 +11,7 @@
 #include "figstair/core/flow/entry_core.h"
 #include "figstair/core/view/view_feed.h"
 #include "figstair/store/fleet_store.h"
-#include "figstair/wire/entry_message.h"
+#include "figstair/wire/change_sets.h"
 
 namespace figstair {
 
@@ -63,7 +63,7 @@
     milliseconds maxMessageDelay() const;
 
     /// Applies changes that another host relayed, if they follow this host's revision.
-    void onRelayedChanges(const view_changes &changes);
+    void onRelayedChanges(view_changes changes);
 
     /// Sends the changes after the requested revision, if the history still has them.
     void onPull(const view_pull &pull);
@@ -115,7 +115,8 @@
     void applyChanges(const std::vector<record_change> &records);
     std::vector<record_change> recordsToRelay(const std::vector<record_change> &records) const;
     void addToHistory(std::uint64_t after, std::uint64_t revision,
-                      const std::vector<record_change> &records);
+                      std::vector<record_change> records);
+    void sendToPeers(const view_changes &changes);
     void offerKeyIfMissing(const std::vector<record_change> &listing);
     void announceIfMissing(const std::vector<record_change> &listing);
     /// Notes in the store which zones were evacuated recently.
@@ -136,6 +137,7 @@
     environment &m_environment;
     view_feed m_feed;
     std::mt19937_64 m_random;
+    changes_assembler m_assembler; ///< of relayed changes that are too large for one message
     std::deque<kept_change> m_history;
     unsigned m_rank = 0; ///< as of m_rankUpdatedAt
     monotonic_time m_rankUpdatedAt{};
--- a/include/figstair/wire/entry_message.h
+++ b/include/figstair/wire/entry_message.h
@@ -30,6 +30,15 @@
     std::vector<std::uint32_t> unacknowledging;
 };
 
+/// Place of a message in a set: the messages with the changes of one revision range, if those are
+/// too large for one message.
+struct set_position
+{
+    std::uint64_t set = 0; ///< hash of all records of the set
+    unsigned index = 0; ///< of this message
+    unsigned count = 1; ///< of messages; 1: the message is complete by itself
+};
+
 /// Changes of store records that a host forwards to other hosts.
 struct view_changes
 {
@@ -39,6 +48,7 @@
     milliseconds grace{0}; ///< time for which missing entries may still return
     std::vector<record_change> records;
     std::uint64_t epoch = 0; ///< of the store that the revisions count in
+    set_position part = {};
 };
 
 /// Requests the changes after a revision.
@@ -84,9 +94,12 @@
 /// loses little.
 constexpr std::size_t viewChangesPartBytes = 16384;
 
-/// Splits @p changes into consecutive parts without revision gaps, each of about @p maxBytes when
-/// encoded. Changes of one revision stay in one part, which may exceed the limit.
-std::vector<view_changes> splitBySize(const view_changes &changes, std::size_t maxBytes);
+/// Maximum number of messages in a set. At viewChangesPartBytes each they hold 8 MB, several times
+/// what the largest value of the store becomes.
+constexpr unsigned maxMessagesInSet = 512;
+
+/// Encodes @p change as in a message with changes.
+byte_buffer encodedBytes(const record_change &change);
 
 /// Encodes @p message as CBOR after a prefix byte that no signed message begins with.
 byte_buffer encodeUnsigned(const unsigned_message &message);
--- a/src/host/entry_process.cpp
+++ b/src/host/entry_process.cpp
@@ -314,7 +314,7 @@
                     return {};
                 }
                 BOOST_LEAF_AUTO(message, decodeEntryMessage(*m_peerKey, bytes));
-                std::visit([this](const auto &content) { handleMessage(content); }, message);
+                std::visit([this](auto &content) { handleMessage(std::move(content)); }, message);
                 return {};
             },
             [this](const entry_message_error &error) {
@@ -346,7 +346,10 @@
         m_core->onPeerReport(report, m_storeSession->feed().position());
         m_storeSession->onPeerReport(report);
     }
-    void handleMessage(const view_changes &changes) { m_storeSession->onRelayedChanges(changes); }
+    void handleMessage(view_changes &&changes)
+    {
+        m_storeSession->onRelayedChanges(std::move(changes));
+    }
     void handleMessage(const view_pull &pull) { m_storeSession->onPull(pull); }
 
     // Event loop
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -252,6 +252,7 @@
                                 {"missed_epoch", std::to_string(m_missedPosition.epoch)},
                                 {"missed_revision", std::to_string(m_missedPosition.revision)},
                                 {"config", std::to_string(m_core.configVersion())},
+                                {"messages_missing", std::to_string(m_assembler.missing())},
                                 {"read_failures", std::to_string(m_readFailures)}});
     }
 }
@@ -324,14 +325,28 @@
 }
 
 void store_session::addToHistory(std::uint64_t after, std::uint64_t revision,
-                                 const std::vector<record_change> &records)
+                                 std::vector<record_change> records)
 {
-    m_history.push_back(kept_change{after, revision, records});
+    m_history.push_back(kept_change{after, revision, std::move(records)});
     while (m_history.size() > maxHistoryLength) {
         m_history.pop_front();
     }
 }
 
+void store_session::sendToPeers(const view_changes &changes)
+{
+    const std::vector<view_changes> messages = splitBySize(changes, viewChangesPartBytes);
+    if (messages.size() > 1) {
+        m_environment.logEvent("changes_split",
+                               {{"after", std::to_string(changes.after)},
+                                {"revision", std::to_string(changes.revision)},
+                                {"messages", std::to_string(messages.size())}});
+    }
+    for (const view_changes &message : messages) {
+        m_environment.relay(message);
+    }
+}
+
 void store_session::onListed(store_reply<store_records> reply)
 {
     const monotonic_time now = m_clock.monotonic();
@@ -388,15 +403,9 @@
     const milliseconds grace = std::max(milliseconds::zero(), m_feed.lapseGraceEnd() - now);
     const view_changes changes{after, listing.revision, m_feed.lastReadAge(now),
                                grace, relayed,          listing.epoch};
-    if (encodeEntryMessage(m_environment.key(), changes).size() > maxEntryMessageBytes) {
-        m_environment.count(entry_counter::relaysOversized, 1);
-        // A host that has some of the changes cannot know which others are missing.
-        m_history.clear();
-        return;
-    }
     addToHistory(after, listing.revision, relayed);
     if (m_feed.mayRelay(rank())) {
-        m_environment.relay(changes);
+        sendToPeers(changes);
     }
 }
 
@@ -465,9 +474,7 @@
     const view_changes changes{after, events.revision, m_feed.lastReadAge(now),
                                grace, relayed,         events.epoch};
     if (m_feed.mayRelay(rank())) {
-        for (const view_changes &part : splitBySize(changes, viewChangesPartBytes)) {
-            m_environment.relay(part);
-        }
+        sendToPeers(changes);
     }
     tick();
 }
@@ -486,14 +493,24 @@
                                 : milliseconds::zero();
 }
 
-void store_session::onRelayedChanges(const view_changes &changes)
+void store_session::onRelayedChanges(view_changes changes)
 {
     const monotonic_time now = m_clock.monotonic();
+    changes.age += maxMessageDelay();
+    if (changes.part.count > 1
+        && m_feed.position() < store_position{changes.epoch, changes.revision}) {
+        changes_assembler::addition added = m_assembler.add(std::move(changes), now);
+        if (!added.whole) {
+            return;
+        }
+        changes = std::move(*added.whole);
+    }
     const std::uint64_t before = m_feed.position().revision;
-    if (m_feed.onRelayedChanges(changes.after, {changes.epoch, changes.revision},
-                                changes.age + maxMessageDelay(), changes.grace, now)) {
+    if (m_feed.onRelayedChanges(changes.after, {changes.epoch, changes.revision}, changes.age,
+                                changes.grace, now)) {
+        m_assembler.discardUpTo(m_feed.position());
         applyChanges(changes.records);
-        addToHistory(std::max(before, changes.after), changes.revision, changes.records);
+        addToHistory(std::max(before, changes.after), changes.revision, std::move(changes.records));
     } else {
         recordRefusedRelay(changes);
     }
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "figstair/wire/bounded_cbor.h"
+#include "figstair/wire/packed_routes.h"
 
 namespace leaf = boost::leaf;
 using nlohmann::json;
@@ -32,6 +33,7 @@
 constexpr std::uint64_t pullKind = 3;
 constexpr std::uint64_t requestKind = 4;
 constexpr std::uint64_t snapshotKind = 5;
+constexpr std::uint64_t changesInSetKind = 6; ///< view_changes that are part of a set
 
 /// First byte of unsigned messages. Signed messages begin with a CBOR array head instead.
 constexpr std::uint8_t unsignedPrefix = 0;
@@ -173,45 +175,81 @@
                        countFrom(value.at(4))};
 }
 
-json toJson(const route_config &config)
+json toJson(const route &item)
 {
-    json routes = json::array();
-    for (const route &item : config.routes) {
-        json services = json::array();
-        for (const weighted_service &choice : item.services) {
-            services.push_back(json::array({choice.service, choice.weight}));
+    json services = json::array();
+    for (const weighted_service &choice : item.services) {
+        services.push_back(json::array({choice.service, choice.weight}));
+    }
+    return json::array({item.name, item.address, item.port, std::move(services),
+                        item.timeout.count(), item.latencyTarget.count(), item.priority});
+}
+
+/// How routes are encoded. Hosts of earlier versions read lists only.
+enum class route_encoding : std::uint8_t { list, packed };
+
+json toJson(const std::vector<route> &routes, route_encoding encoding)
+{
+    if (encoding == route_encoding::packed) {
+        if (std::optional<byte_buffer> bytes = packRoutes(routes)) {
+            return json::binary_t(std::move(*bytes));
+        }
+    }
+    json list = json::array();
+    for (const route &item : routes) {
+        list.push_back(toJson(item));
+    }
+    return list;
+}
+
+route routeFrom(const json &value)
+{
+    route entry;
+    entry.name = value.at(0).get<std::string>();
+    entry.address = integerFrom<std::uint32_t>(value.at(1));
+    entry.port = integerFrom<std::uint16_t>(value.at(2));
+    for (const json &choice : value.at(3)) {
+        entry.services.push_back(
+            weighted_service{choice.at(0).get<std::string>(), countFrom(choice.at(1))});
+    }
+    entry.timeout = durationFrom(value.at(4));
+    entry.latencyTarget = durationFrom(value.at(5));
+    entry.priority = countFrom(value.at(6));
+    return entry;
+}
+
+std::vector<route> routesFrom(const json &value)
+{
+    if (value.is_binary()) {
+        std::optional<std::vector<route>> routes = unpackRoutes(value.get_binary());
+        if (!routes) {
+            throwDecodeError("packed routes are malformed", value);
         }
-        routes.push_back(
-            json::array({item.name, item.address, item.port, std::move(services),
-                         item.timeout.count(), item.latencyTarget.count(), item.priority}));
+        return std::move(*routes);
+    }
+    std::vector<route> routes;
+    for (const json &item : value) {
+        routes.push_back(routeFrom(item));
     }
+    return routes;
+}
+
+json toJson(const route_config &config, route_encoding encoding)
+{
     json services = json::array();
     for (const service_limits &item : config.services) {
         services.push_back(json::array(
             {item.name, item.maxFlows, item.warmup.count(), item.coldRequestsPerSecond}));
     }
-    return json::array(
-        {config.version, std::move(routes), std::move(services), config.idleTimeout.count()});
+    return json::array({config.version, toJson(config.routes, encoding), std::move(services),
+                        config.idleTimeout.count()});
 }
 
 route_config configFrom(const json &value)
 {
     route_config config;
     config.version = integerFrom<std::uint64_t>(value.at(0));
-    for (const json &item : value.at(1)) {
-        route entry;
-        entry.name = item.at(0).get<std::string>();
-        entry.address = integerFrom<std::uint32_t>(item.at(1));
-        entry.port = integerFrom<std::uint16_t>(item.at(2));
-        for (const json &choice : item.at(3)) {
-            entry.services.push_back(
-                weighted_service{choice.at(0).get<std::string>(), countFrom(choice.at(1))});
-        }
-        entry.timeout = durationFrom(item.at(4));
-        entry.latencyTarget = durationFrom(item.at(5));
-        entry.priority = countFrom(item.at(6));
-        config.routes.push_back(std::move(entry));
-    }
+    config.routes = routesFrom(value.at(1));
     for (const json &item : value.at(2)) {
         config.services.push_back(service_limits{item.at(0).get<std::string>(),
                                                  countFrom(item.at(1)), durationFrom(item.at(2)),
@@ -268,25 +306,28 @@
 /// Converts the content of a change to JSON. The index of the variant is encoded separately.
 struct content_writer
 {
+    route_encoding encoding;
+
     json operator()(const record_change::removed &) const { return nullptr; }
     json operator()(const record_change::unreadable &content) const { return content.problem; }
-    json operator()(const route_config &content) const { return toJson(content); }
+    json operator()(const route_config &content) const { return toJson(content, encoding); }
     json operator()(const upstream_record &content) const { return toJson(content); }
     json operator()(const zone_evacuation &) const { return nullptr; }
     json operator()(const host_record &content) const { return toJson(content); }
     json operator()(const config_patch &content) const
     {
-        return json::array({content.baseVersion, toJson(content.changed), content.removedRoutes});
+        return json::array(
+            {content.baseVersion, toJson(content.changed, encoding), content.removedRoutes});
     }
     json operator()(const shared_key &content) const { return toJson(content.key); }
     json operator()(const evacuation_mark &) const { return nullptr; }
 };
 
-json toJson(const record_change &change)
+json toJson(const record_change &change, route_encoding encoding)
 {
     return json::array({static_cast<unsigned>(change.kind), change.name, change.upstreamId,
                         change.revision, change.content.index(),
-                        std::visit(content_writer{}, change.content), change.keyHash});
+                        std::visit(content_writer{encoding}, change.content), change.keyHash});
 }
 
 record_change changeFrom(const json &value)
@@ -338,11 +379,11 @@
     return change;
 }
 
-json toJson(const std::vector<record_change> &records)
+json toJson(const std::vector<record_change> &records, route_encoding encoding)
 {
     json list = json::array();
     for (const record_change &change : records) {
-        list.push_back(toJson(change));
+        list.push_back(toJson(change, encoding));
     }
     return list;
 }
@@ -356,6 +397,42 @@
     return records;
 }
 
+/// Only hosts that read packed routes read messages of sets.
+route_encoding encodingIn(const set_position &part)
+{
+    return part.count > 1 ? route_encoding::packed : route_encoding::list;
+}
+
+/// Appends the place in a set to @p message, of which the elements up to the epoch are written.
+void appendPart(const set_position &part, json &message)
+{
+    message.push_back(part.set);
+    message.push_back(part.index);
+    message.push_back(part.count);
+}
+
+set_position partFrom(const json &message)
+{
+    set_position part;
+    part.set = integerFrom<std::uint64_t>(message.at(7));
+    part.index = integerFrom<unsigned>(message.at(8));
+    part.count = integerFrom<unsigned>(message.at(9), maxMessagesInSet);
+    if (part.count < 2 || part.index >= part.count) {
+        throwDecodeError("position in a set is out of range", message);
+    }
+    return part;
+}
+
+view_snapshot snapshotFrom(const json &value)
+{
+    return view_snapshot{integerFrom<std::uint64_t>(value.at(1)),
+                         keyFrom(value.at(2)),
+                         integerFrom<std::uint64_t>(value.at(3)),
+                         durationFrom(value.at(4)),
+                         recordsFrom(value.at(5)),
+                         epochFrom(value, 6)};
+}
+
 struct unsigned_writer
 {
     json operator()(const view_request &request) const
@@ -365,7 +442,8 @@
     json operator()(const view_snapshot &snapshot) const
     {
         return json::array({snapshotKind, snapshot.nonce, toJson(snapshot.key), snapshot.revision,
-                            snapshot.age.count(), toJson(snapshot.records), snapshot.epoch});
+                            snapshot.age.count(),
+                            toJson(snapshot.records, route_encoding::list), snapshot.epoch});
     }
 };
 
@@ -376,12 +454,7 @@
         return view_request{integerFrom<std::uint64_t>(value.at(1)),
                             value.at(2).get<std::string>()};
     case snapshotKind:
-        return view_snapshot{integerFrom<std::uint64_t>(value.at(1)),
-                             keyFrom(value.at(2)),
-                             integerFrom<std::uint64_t>(value.at(3)),
-                             durationFrom(value.at(4)),
-                             recordsFrom(value.at(5)),
-                             epochFrom(value, 6)};
+        return snapshotFrom(value);
     default:
         throwDecodeError("message kind is unknown", value);
     }
@@ -398,8 +471,15 @@
     }
     json operator()(const view_changes &changes) const
     {
-        return json::array({changesKind, changes.after, changes.revision, changes.age.count(),
-                            changes.grace.count(), toJson(changes.records), changes.epoch});
+        const bool isInSet = changes.part.count > 1;
+        json message =
+            json::array({isInSet ? changesInSetKind : changesKind, changes.after, changes.revision,
+                         changes.age.count(), changes.grace.count(),
+                         toJson(changes.records, encodingIn(changes.part)), changes.epoch});
+        if (isInSet) {
+            appendPart(changes.part, message);
+        }
+        return message;
     }
     json operator()(const view_pull &pull) const
     {
@@ -407,6 +487,18 @@
     }
 };
 
+view_changes changesFrom(const json &value)
+{
+    view_changes changes;
+    changes.after = integerFrom<std::uint64_t>(value.at(1));
+    changes.revision = integerFrom<std::uint64_t>(value.at(2));
+    changes.age = durationFrom(value.at(3));
+    changes.grace = durationFrom(value.at(4));
+    changes.records = recordsFrom(value.at(5));
+    changes.epoch = epochFrom(value, 6);
+    return changes;
+}
+
 entry_message messageFrom(const json &value)
 {
     switch (integerFrom<std::uint64_t>(value.at(0))) {
@@ -427,14 +519,11 @@
         }
         return report;
     }
-    case changesKind: {
-        view_changes changes;
-        changes.after = integerFrom<std::uint64_t>(value.at(1));
-        changes.revision = integerFrom<std::uint64_t>(value.at(2));
-        changes.age = durationFrom(value.at(3));
-        changes.grace = durationFrom(value.at(4));
-        changes.records = recordsFrom(value.at(5));
-        changes.epoch = epochFrom(value, 6);
+    case changesKind:
+        return changesFrom(value);
+    case changesInSetKind: {
+        view_changes changes = changesFrom(value);
+        changes.part = partFrom(value);
         return changes;
     }
     case pullKind:
@@ -447,30 +536,9 @@
 
 } // namespace
 
-std::vector<view_changes> splitBySize(const view_changes &changes, std::size_t maxBytes)
-{
-    std::vector<view_changes> parts;
-    view_changes part = changes;
-    part.records.clear();
-    std::size_t size = 0;
-    for (const record_change &change : changes.records) {
-        const std::size_t added = json::to_cbor(toJson(change)).size();
-        const bool isNewRevision =
-            !part.records.empty() && change.revision > part.records.back().revision;
-        if (isNewRevision && size + added > maxBytes) {
-            part.revision = part.records.back().revision;
-            view_changes next = changes;
-            next.after = part.revision;
-            next.records.clear();
-            parts.push_back(std::move(part));
-            part = std::move(next);
-            size = 0;
-        }
-        part.records.push_back(change);
-        size += added;
-    }
-    parts.push_back(std::move(part));
-    return parts;
+byte_buffer encodedBytes(const record_change &change)
+{
+    return json::to_cbor(toJson(change, route_encoding::packed));
 }
 
 byte_buffer encodeUnsigned(const unsigned_message &message)
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "entry/entry_doubles.h"
+#include "errors.h"
 
 using namespace figstair;
 
@@ -395,7 +396,8 @@
         const byte_buffer bytes = encodeEntryMessage(key, message);
         CHECK(bytes.size() <= maxEntryMessageBytes);
         if (bytes.size() <= maxEntryMessageBytes) {
-            host.session->onRelayedChanges(std::get<view_changes>(message));
+            const entry_message read = valueOf([&] { return decodeEntryMessage(key, bytes); });
+            host.session->onRelayedChanges(std::get<view_changes>(read));
         }
     }
 }
@@ -429,6 +431,97 @@
     CHECK(other.candidates() == 2000);
 }
 
+namespace {
+
+/// A configuration with @p routes routes, as the store reports it at @p revision.
+record_change configWithRoutes(std::uint64_t version, std::size_t routes, std::uint64_t revision)
+{
+    route_config config;
+    config.version = version;
+    for (std::size_t number = 0; number < routes; ++number) {
+        config.routes.push_back(route{"tenant-route-" + std::to_string(100000 + number),
+                                      static_cast<std::uint32_t>(number + 1),
+                                      443,
+                                      {{"desk", 1}},
+                                      milliseconds(4000),
+                                      milliseconds(250),
+                                      1});
+    }
+    record_change change;
+    change.kind = record_kind::config;
+    change.revision = revision;
+    change.content = config;
+    return change;
+}
+
+} // namespace
+
+// Guards against hosts that fall behind when the configuration grows: a change above the size of a
+// message was not relayed, so each host read the whole configuration from the store.
+TEST_CASE_FIXTURE(
+    session_with_store,
+    "store_session: the configuration grows by 1,400 routes: other hosts have it, and "
+    "the drain after it, without reading the store")
+{
+    const std::vector<record_change> first{configWithRoutes(1, 40, 5), upstreamChange(1, 10)};
+    start(20, first);
+    session_with_store other;
+    other.answerList(20, first);
+    environment.relayed.clear();
+    answerWatch(22, {configWithRoutes(2, 1440, 21), upstreamChange(1, 22, true)});
+    deliver(environment.relayed, other);
+    CHECK(other.core->configVersion() == 2);
+    CHECK(other.core->config().routes.size() == 1440);
+    CHECK(other.candidates() == 0);
+    CHECK(other.session->feed().position().revision == 22);
+    CHECK(other.store->lists.size() == 1);
+    CHECK(other.store->watches.empty());
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: a part of a large change is lost: requested from another host, "
+                  "not read from the store")
+{
+    const std::vector<record_change> first{configWithRoutes(1, 40, 5)};
+    start(20, first);
+    session_with_store other;
+    other.answerList(20, first);
+    environment.relayed.clear();
+    answerWatch(21, {configWithRoutes(2, 1440, 21)});
+    REQUIRE(environment.relayed.size() > 2);
+    environment.relayed.erase(environment.relayed.begin() + 1);
+    deliver(environment.relayed, other);
+    CHECK(other.core->configVersion() == 1);
+    peer_report report;
+    report.sender = host_record{"h9", "z", *parseEndpoint("10.0.0.9:7720"), 1, 1000};
+    report.viewRevision = 21;
+    other.core->onPeerReport(report);
+    other.session->onPeerReport(report);
+    other.advance(200);
+    REQUIRE(other.environment.sentToPeers.size() == 1);
+    session->onPull(std::get<view_pull>(other.environment.sentToPeers.back()));
+    deliver(environment.sentToPeers, other);
+    CHECK(other.core->configVersion() == 2);
+    CHECK(other.store->watches.empty());
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: the history is gone while the configuration grows: the large "
+                  "difference reaches other hosts")
+{
+    const std::vector<record_change> first{configWithRoutes(1, 40, 5), upstreamChange(1, 10)};
+    start(20, first);
+    session_with_store other;
+    other.answerList(20, first);
+    failWatch(store_error::reason::historyGone);
+    environment.relayed.clear();
+    answerList(40, {configWithRoutes(2, 5640, 38)});
+    deliver(environment.relayed, other);
+    CHECK(other.core->configVersion() == 2);
+    CHECK(other.candidates() == 0);
+    CHECK(other.session->feed().position().revision == 40);
+}
+
 // Guards against hosts that miss changes after a compaction of the store: only the reader had them,
 // by a listing, and what it relayed later did not follow the other hosts' views.
 TEST_CASE_FIXTURE(session_with_store,
@@ -477,15 +570,23 @@
 
 TEST_CASE_FIXTURE(session_with_store,
                   "store_session: history gone, the listing changed more than a message holds: "
-                  "other hosts read the store")
+                  "other hosts get the difference, relayed and on request")
 {
     start(20, {});
+    session_with_store other;
+    other.answerList(20, {});
+    session_with_store late;
+    late.answerList(20, {});
     failWatch(store_error::reason::historyGone);
     environment.relayed.clear();
     answerList(2020, zoneRecoveryChanges());
-    CHECK(environment.relayed.empty());
+    deliver(environment.relayed, other);
+    CHECK(other.candidates() == 2000);
+    CHECK(other.session->feed().position().revision == 2020);
     session->onPull(view_pull{20, {}});
-    CHECK(environment.sentToPeers.empty());
+    deliver(environment.sentToPeers, late);
+    CHECK(late.candidates() == 2000);
+    CHECK(late.session->feed().position().revision == 2020);
 }
 
 namespace {
--- a/tests/wire/entry_message_test.cpp
+++ b/tests/wire/entry_message_test.cpp
@@ -222,30 +222,3 @@
     truncated.resize(truncated.size() / 2);
     CHECK_FALSE(succeeds([&] { return decodeUnsigned(truncated); }));
 }
-
-TEST_CASE("entry_message: changes split by size: no revision gap, one revision stays together")
-{
-    view_changes changes;
-    changes.after = 10;
-    changes.revision = 40;
-    for (std::uint64_t number = 0; number < 30; ++number) {
-        record_change change;
-        change.kind = record_kind::upstream;
-        change.upstreamId = number;
-        change.revision = 11 + number / 3; // three changes per revision
-        changes.records.push_back(change);
-    }
-    const std::vector<view_changes> parts = splitBySize(changes, 40);
-    REQUIRE(parts.size() > 3);
-    std::uint64_t reached = 10;
-    std::size_t records = 0;
-    for (const view_changes &part : parts) {
-        CHECK(part.after == reached);
-        reached = part.revision;
-        records += part.records.size();
-        CHECK(part.records.size() % 3 == 0);
-    }
-    CHECK(reached == 40);
-    CHECK(records == 30);
-    CHECK(splitBySize(view_changes{}, 40).size() == 1);
-}
