Do not relay again what another host relayed

A host reads the store when it is behind. If another host relayed the changes before the answer came, the host relayed all of them once more, and a configuration as a whole, since it already had that version: ten to 15 messages of 16 KB to each host of the zone, seconds of a link of 10 Mbit/s. Its own reads and the reports of other hosts were lost meanwhile.

Changes up to the revision of the view are dropped from the answer before it is applied, kept and relayed. "store_session: a read ends after its changes were relayed" and "a read ends with less than what was relayed meanwhile" fail without the change.

--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -458,11 +458,18 @@
         return;
     }
     auto &events = std::get<store_records>(reply);
+    const std::uint64_t known = m_feed.position().revision;
     if (!m_feed.onWatched({events.epoch, events.revision}, now)) {
         tick();
         return;
     }
     recordSuccess();
+    // Other hosts may have relayed some of the changes since the call was made.
+    events.records.erase(
+        std::remove_if(events.records.begin(), events.records.end(),
+                       [&](const record_change &change) { return change.revision <= known; }),
+        events.records.end());
+    after = std::min(std::max(after, known), events.revision);
     const std::vector<record_change> relayed = recordsToRelay(events.records);
     applyChanges(events.records);
     confirmView();
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -522,6 +522,51 @@
     CHECK(other.session->feed().position().revision == 40);
 }
 
+// Guards against hosts that relay a whole configuration, which all others have, because their own
+// read of it ended after another host had relayed it to them.
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: a read ends after its changes were relayed: only newer ones are "
+                  "relayed and kept")
+{
+    start(20, {configWithRoutes(1, 40, 5)});
+    const record_change grown = configWithRoutes(2, 1440, 21);
+    view_changes relayed;
+    relayed.after = 20;
+    relayed.revision = 21;
+    relayed.records.push_back(grown);
+    session->onRelayedChanges(relayed);
+    CHECK(core->configVersion() == 2);
+    environment.relayed.clear();
+    answerWatch(22, {grown, upstreamChange(7, 22)});
+    CHECK(candidates() == 1);
+    REQUIRE(environment.relayed.size() == 1);
+    const auto &sent = std::get<view_changes>(environment.relayed.back());
+    CHECK(sent.after == 21);
+    CHECK(sent.revision == 22);
+    CHECK(sent.records.size() == 1);
+    session->onPull(view_pull{21, {}});
+    REQUIRE(environment.sentToPeers.size() == 1);
+    CHECK(std::get<view_changes>(environment.sentToPeers.back()).records.size() == 1);
+}
+
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: a read ends with less than what was relayed meanwhile: confirms, "
+                  "relays no changes")
+{
+    start(20, {});
+    view_changes relayed;
+    relayed.after = 20;
+    relayed.revision = 23;
+    relayed.records.push_back(upstreamChange(7, 23));
+    session->onRelayedChanges(relayed);
+    environment.relayed.clear();
+    answerWatch(22, {upstreamChange(8, 22)});
+    CHECK(session->feed().position().revision == 23);
+    for (const entry_message &message : environment.relayed) {
+        CHECK(std::get<view_changes>(message).records.empty());
+    }
+}
+
 // Guards against hosts that miss changes after a compaction of the store: only the reader had them,
 // by a listing, and what it relayed later did not follow the other hosts' views.
 TEST_CASE_FIXTURE(session_with_store,
