Do not read the store while a change arrives in parts

A host with little CPU needs some tenths of a second for a large change that is relayed to it.

Messages of a set that had not arrived before put off reads by 450 ms, unless the host is the first in the ranking. They are bounded by the size of the set, so a host whose set does not become complete still reads. "view_feed: parts of a large change keep arriving" fails without the change.

--- a/include/figstair/core/view/view_feed.h
+++ b/include/figstair/core/view/view_feed.h
@@ -61,6 +61,10 @@
     bool onRelayedChanges(std::uint64_t after, const store_position &position, milliseconds age,
                           milliseconds grace, monotonic_time now);
 
+    /// A part of changes that this view lacks arrived, which had not arrived before. The others are
+    /// on their way, so this host does not read the store for a while, unless it is ranked first.
+    void onPartReceived(monotonic_time now);
+
     /// Another host reports the position of its view and its lastReadAge().
     void onPeerView(const store_position &position, milliseconds age, monotonic_time now);
 
@@ -132,6 +136,7 @@
     monotonic_time m_lapseGraceEnd{};
     monotonic_time m_behindSince{}; ///< last progress since another host's view was newer
     monotonic_time m_lastPullAt{};
+    monotonic_time m_receivingUntil{}; ///< parts of changes are expected until then
     bool m_isBehind = false;
     unsigned m_failures = 0;
     unsigned m_unconfirmedListings = 0; ///< since the last answer to a watch
--- a/src/core/view/view_feed.cpp
+++ b/src/core/view/view_feed.cpp
@@ -89,6 +89,9 @@
     if (rank > 0 && !isStale && !isBehindTooLong && !m_needsRead) {
         return {};
     }
+    if (rank > 0 && now < m_receivingUntil) {
+        return {};
+    }
     m_isCallPending = true;
     m_calledAt = now;
     m_maxWait = rank == 0 ? longPollTime : milliseconds(1);
@@ -100,10 +103,13 @@
     if (m_isCallPending) {
         return now + staleAge;
     }
-    if (m_needsListing || m_needsRead || rank == 0) {
+    if (m_needsListing || rank == 0) {
         return m_nextCallAt;
     }
-    monotonic_time next = m_confirmedAt + staleAfter(rank);
+    if (m_needsRead) {
+        return std::max(m_nextCallAt, m_receivingUntil);
+    }
+    monotonic_time next = std::max(m_confirmedAt + staleAfter(rank), m_receivingUntil);
     if (m_isBehind) {
         next = std::min(next, std::max(m_lastPullAt + pullInterval, m_behindSince + pullDelay));
     }
@@ -246,6 +252,12 @@
     return isNew;
 }
 
+void view_feed::onPartReceived(monotonic_time now)
+{
+    m_behindSince = now;
+    m_receivingUntil = now + behindReadDelay;
+}
+
 void view_feed::onPeerView(const store_position &position, milliseconds age, monotonic_time now)
 {
     if (!m_isLoaded) {
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -507,6 +507,9 @@
     if (changes.part.count > 1
         && m_feed.position() < store_position{changes.epoch, changes.revision}) {
         changes_assembler::addition added = m_assembler.add(std::move(changes), now);
+        if (added.isNew) {
+            m_feed.onPartReceived(now);
+        }
         if (!added.whole) {
             return;
         }
--- a/tests/core/view_feed_test.cpp
+++ b/tests/core/view_feed_test.cpp
@@ -302,3 +302,29 @@
     feed.onWatched(at(2000), ms(1200));
     CHECK(feed.isUpToDate());
 }
+
+// Guards against slow hosts that read a large configuration from the store while they receive it
+// from another host, and then fall further behind.
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: parts of a large change keep arriving: no read, until they stop")
+{
+    feed.onPeerView(at(51), milliseconds(0), ms(100));
+    for (std::int64_t time = 200; time <= 3000; time += 200) {
+        feed.onPartReceived(ms(time));
+        CHECK(feed.nextCall(ms(time + 199), 5).operation == feed_call::kind::none);
+        feed.takeDuePull(ms(time + 199));
+        CHECK(feed.nextDeadline(ms(time + 199), 5) > ms(time + 199));
+    }
+    feed.onFreeze(milliseconds(600));
+    CHECK(feed.nextCall(ms(3100), 5).operation == feed_call::kind::none);
+    const monotonic_time deadline = feed.nextDeadline(ms(3100), 5);
+    CHECK(deadline <= ms(3450));
+    CHECK(feed.nextCall(deadline, 5).operation == feed_call::kind::watch);
+}
+
+TEST_CASE_FIXTURE(listed_feed,
+                  "view_feed: the first-ranked host receives parts of a large change: still reads")
+{
+    feed.onPartReceived(ms(100));
+    CHECK(feed.nextCall(ms(101), 0).operation == feed_call::kind::watch);
+}
