Bound the history of changes by its size

Each host keeps the last 64 changes for hosts that missed them, whatever their size. Records and routes in the history are counted, and the oldest changes go first. "store_session: large changes in a row" fails without the change.

--- a/include/figstair/host/store_session.h
+++ b/include/figstair/host/store_session.h
@@ -139,6 +139,7 @@
     std::mt19937_64 m_random;
     changes_assembler m_assembler; ///< of relayed changes that are too large for one message
     std::deque<kept_change> m_history;
+    std::size_t m_historySize = 0; ///< sum of sizeInHistory()
     unsigned m_rank = 0; ///< as of m_rankUpdatedAt
     monotonic_time m_rankUpdatedAt{};
     endpoint m_newerPeer; ///< a host that reported a newer view, of this zone if there is one
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -20,8 +20,10 @@
 /// Interval at which the rank is recomputed from all hosts; it is read for each packet.
 constexpr milliseconds rankInterval{50};
 
-/// Number of changes kept for hosts that missed them.
+/// Number of changes kept for hosts that missed them, and how many records and routes they may
+/// have. A route takes about 200 bytes.
 constexpr std::size_t maxHistoryLength = 64;
+constexpr std::size_t maxHistorySize = 20000;
 
 /// The lease of an announcement is renewed this many times per TTL.
 constexpr int renewalsPerTtl = 3;
@@ -82,6 +84,20 @@
     return changes;
 }
 
+/// Number of records in @p changes, and of the routes in them.
+std::size_t sizeInHistory(boost::span<const record_change> changes)
+{
+    std::size_t size = changes.size();
+    for (const record_change &change : changes) {
+        if (const auto *config = std::get_if<route_config>(&change.content)) {
+            size += config->routes.size();
+        } else if (const auto *patch = std::get_if<config_patch>(&change.content)) {
+            size += patch->changed.routes.size() + patch->removedRoutes.size();
+        }
+    }
+    return size;
+}
+
 } // namespace
 
 store_session::store_session(std::unique_ptr<fleet_store> store, entry_core &core,
@@ -327,8 +343,12 @@
 void store_session::addToHistory(std::uint64_t after, std::uint64_t revision,
                                  std::vector<record_change> records)
 {
+    m_historySize += sizeInHistory(records);
     m_history.push_back(kept_change{after, revision, std::move(records)});
-    while (m_history.size() > maxHistoryLength) {
+    // The newest change is always kept: other hosts are about to ask for it.
+    while (m_history.size() > maxHistoryLength
+           || (m_historySize > maxHistorySize && m_history.size() > 1)) {
+        m_historySize -= sizeInHistory(m_history.front().records);
         m_history.pop_front();
     }
 }
@@ -388,6 +408,7 @@
         m_firstLoadedAt = m_clock.monotonic();
     }
     m_history.clear();
+    m_historySize = 0;
     applyRecords(view);
 }
 
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -567,6 +567,21 @@
     }
 }
 
+// Guards against a history that grows with the configuration instead of with the changes.
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: large changes in a row: only the newest are kept for other hosts")
+{
+    start(20, {configWithRoutes(1, 40, 5)});
+    for (std::uint64_t number = 1; number <= 8; ++number) {
+        const std::size_t routes = number % 2 == 1 ? 9000 : 40;
+        answerWatch(20 + number, {configWithRoutes(1 + number, routes, 20 + number)});
+    }
+    session->onPull(view_pull{20, {}});
+    CHECK(environment.sentToPeers.empty());
+    session->onPull(view_pull{27, {}});
+    CHECK_FALSE(environment.sentToPeers.empty());
+}
+
 // Guards against hosts that miss changes after a compaction of the store: only the reader had them,
 // by a listing, and what it relayed later did not follow the other hosts' views.
 TEST_CASE_FIXTURE(session_with_store,
