Send large views to starting hosts as sets of messages

A host that starts while the store is down asks seeds for their view. A view of more than 49,152 bytes was sent as one message, which the host refused: it served nobody until the store was back. The same cause as that of changes that were not relayed: a message grows with the table.

The view is sent as a set of messages, which the host joins whichever seed they come from; while they arrive it does not ask again. "store_session: started while the store is unreachable, the view is large" fails without the change. Not shown with real processes.

--- a/include/figstair/wire/change_sets.h
+++ b/include/figstair/wire/change_sets.h
@@ -15,6 +15,10 @@
 /// Configurations are split by their routes. Equal changes are always split in the same way.
 std::vector<view_changes> splitBySize(const view_changes &changes, std::size_t maxBytes);
 
+/// Splits @p changes into one message, or a set if they are larger than @p maxBytes when encoded.
+/// Unlike splitBySize(), applies to records in any order of revisions, such as those of a view.
+std::vector<view_changes> splitIntoSet(const view_changes &changes, std::size_t maxBytes);
+
 /// Joins the messages of a set, whichever hosts they come from and in whichever order. Keeps what
 /// arrived, so that a repetition of the set only has to fill the gaps.
 class changes_assembler
--- a/include/figstair/wire/entry_message.h
+++ b/include/figstair/wire/entry_message.h
@@ -30,8 +30,8 @@
     std::vector<std::uint32_t> unacknowledging;
 };
 
-/// Place of a message in a set: the messages with the changes of one revision range, if those are
-/// too large for one message.
+/// Place of a message in a set: the messages with the changes of one revision range, or with a
+/// whole view, if those are too large for one message.
 struct set_position
 {
     std::uint64_t set = 0; ///< hash of all records of the set
@@ -75,6 +75,7 @@
     milliseconds age{0}; ///< time since the store confirmed the view
     std::vector<record_change> records;
     std::uint64_t epoch = 0; ///< of the store that the revisions count in
+    set_position part = {};
 };
 
 using unsigned_message = std::variant<view_request, view_snapshot>;
--- a/src/host/store_session.cpp
+++ b/src/host/store_session.cpp
@@ -617,14 +617,17 @@
         m_environment.count(entry_counter::peerMessagesRejected, 1);
         return;
     }
-    view_snapshot snapshot;
-    snapshot.nonce = request.nonce;
-    snapshot.key = m_environment.key();
-    snapshot.revision = m_feed.position().revision;
-    snapshot.epoch = m_feed.position().epoch;
-    snapshot.age = m_feed.age(m_clock.monotonic());
-    snapshot.records = m_core.snapshot();
-    m_environment.sendUnsigned(from, snapshot);
+    view_changes view;
+    view.revision = m_feed.position().revision;
+    view.epoch = m_feed.position().epoch;
+    view.age = m_feed.age(m_clock.monotonic());
+    view.records = m_core.snapshot();
+    for (view_changes &message : splitIntoSet(view, viewChangesPartBytes)) {
+        m_environment.sendUnsigned(from,
+                                   view_snapshot{request.nonce, m_environment.key(), view.revision,
+                                                 view.age, std::move(message.records), view.epoch,
+                                                 message.part});
+    }
 }
 
 void store_session::onSnapshot(const view_snapshot &snapshot)
@@ -632,15 +635,29 @@
     if (m_feed.isLoaded() || snapshot.nonce != m_seedNonce || m_seedNonce == 0) {
         return;
     }
+    const monotonic_time now = m_clock.monotonic();
+    view_changes view;
+    view.revision = snapshot.revision;
+    view.age = snapshot.age + maxMessageDelay();
+    view.records = snapshot.records;
+    view.epoch = snapshot.epoch;
+    view.part = snapshot.part;
+    if (snapshot.part.count > 1) {
+        m_nextSeedRequest = now + seedRequestInterval; // the others may be on their way
+        changes_assembler::addition added = m_assembler.add(std::move(view), now);
+        if (!added.whole) {
+            return;
+        }
+        view = std::move(*added.whole);
+    }
     m_environment.adoptKey(snapshot.key);
-    m_feed.onSnapshot({snapshot.epoch, snapshot.revision}, snapshot.age + maxMessageDelay(),
-                      m_clock.monotonic());
-    applyView(store_records{snapshot.records, snapshot.revision, snapshot.epoch});
+    m_feed.onSnapshot({view.epoch, view.revision}, view.age, now);
+    applyView(store_records{view.records, view.revision, view.epoch});
     m_environment.logEvent("view_from_seed",
                            {{"epoch", std::to_string(snapshot.epoch)},
                             {"revision", std::to_string(snapshot.revision)},
-                            {"records", std::to_string(snapshot.records.size())},
-                            {"age_ms", std::to_string(snapshot.age.count())}});
+                            {"records", std::to_string(view.records.size())},
+                            {"age_ms", std::to_string(view.age.count())}});
 }
 
 void store_session::onPeerReport(const peer_report &report)
--- a/src/wire/change_sets.cpp
+++ b/src/wire/change_sets.cpp
@@ -184,6 +184,16 @@
     return messages;
 }
 
+std::vector<view_changes> splitIntoSet(const view_changes &changes, std::size_t maxBytes)
+{
+    std::vector<view_changes> messages;
+    appendSet(withoutRecords(changes, changes.after), changes.records, maxBytes, messages);
+    if (messages.empty()) {
+        messages.push_back(changes);
+    }
+    return messages;
+}
+
 changes_assembler::incomplete_set &changes_assembler::findOrAdd(const view_changes &message,
                                                                 monotonic_time now)
 {
--- a/src/wire/entry_message.cpp
+++ b/src/wire/entry_message.cpp
@@ -34,6 +34,7 @@
 constexpr std::uint64_t requestKind = 4;
 constexpr std::uint64_t snapshotKind = 5;
 constexpr std::uint64_t changesInSetKind = 6; ///< view_changes that are part of a set
+constexpr std::uint64_t snapshotInSetKind = 7; ///< a view_snapshot that is part of a set
 
 /// First byte of unsigned messages. Signed messages begin with a CBOR array head instead.
 constexpr std::uint8_t unsignedPrefix = 0;
@@ -441,9 +442,15 @@
     }
     json operator()(const view_snapshot &snapshot) const
     {
-        return json::array({snapshotKind, snapshot.nonce, toJson(snapshot.key), snapshot.revision,
-                            snapshot.age.count(),
-                            toJson(snapshot.records, route_encoding::list), snapshot.epoch});
+        const bool isInSet = snapshot.part.count > 1;
+        json message =
+            json::array({isInSet ? snapshotInSetKind : snapshotKind, snapshot.nonce,
+                         toJson(snapshot.key), snapshot.revision, snapshot.age.count(),
+                         toJson(snapshot.records, encodingIn(snapshot.part)), snapshot.epoch});
+        if (isInSet) {
+            appendPart(snapshot.part, message);
+        }
+        return message;
     }
 };
 
@@ -455,6 +462,11 @@
                             value.at(2).get<std::string>()};
     case snapshotKind:
         return snapshotFrom(value);
+    case snapshotInSetKind: {
+        view_snapshot snapshot = snapshotFrom(value);
+        snapshot.part = partFrom(value);
+        return snapshot;
+    }
     default:
         throwDecodeError("message kind is unknown", value);
     }
--- a/tests/host/store_session_test.cpp
+++ b/tests/host/store_session_test.cpp
@@ -567,6 +567,39 @@
     }
 }
 
+// Guards against hosts that start while the store is down and get no view, because it does not fit
+// one message.
+TEST_CASE_FIXTURE(session_with_store,
+                  "store_session: started while the store is unreachable, the view is large: taken "
+                  "from a seed in several messages")
+{
+    record_change starting;
+    starting.kind = record_kind::host;
+    starting.name = "h2";
+    starting.revision = 3;
+    starting.content = host_record{"h2", "z", *parseEndpoint("10.0.0.2:7720"), 5, 0};
+    start(20, {configWithRoutes(2, 5640, 5), upstreamChange(1, 10), starting});
+    session_with_store other;
+    other.store->lists.back()(store_error{store_error::reason::unreachable, "reset"});
+    other.advance(300);
+    REQUIRE_FALSE(other.environment.unsignedSent.empty());
+    auto request = std::get<view_request>(other.environment.unsignedSent.back());
+    request.hostName = "h2";
+    session->onViewRequest(*parseEndpoint("10.0.0.2:7720"), request);
+    REQUIRE(environment.unsignedSent.size() > 2);
+    for (const unsigned_message &message : environment.unsignedSent) {
+        const byte_buffer bytes = encodeUnsigned(message);
+        REQUIRE(bytes.size() <= maxEntryMessageBytes);
+        const unsigned_message read = valueOf([&] { return decodeUnsigned(bytes); });
+        CHECK_FALSE(other.session->feed().isLoaded());
+        other.session->onSnapshot(std::get<view_snapshot>(read));
+    }
+    CHECK(other.session->feed().position().revision == 20);
+    CHECK(other.core->config().routes.size() == 5640);
+    CHECK(other.candidates() == 1);
+    CHECK(other.environment.keys.back() == peer_key{7});
+}
+
 // Guards against a history that grows with the configuration instead of with the changes.
 TEST_CASE_FIXTURE(session_with_store,
                   "store_session: large changes in a row: only the newest are kept for other hosts")
