--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -30,6 +30,9 @@
 
     void setMode(proxy_mode mode);
 
+    /// Limits what each connection carries to the host from now on; 0: no limit.
+    void setBytesPerSecond(std::size_t limit) { m_bytesPerSecond = limit; }
+
 private:
     struct link;
     using side = boost::asio::ip::tcp::socket;
@@ -43,6 +46,7 @@
     boost::asio::ip::tcp::endpoint m_store;
     std::list<std::weak_ptr<link>> m_links;
     proxy_mode m_mode = proxy_mode::pass;
+    std::size_t m_bytesPerSecond = 0;
 };
 
 } // namespace soak
--- a/tests/soak/soak_fabric.cpp
+++ b/tests/soak/soak_fabric.cpp
@@ -30,6 +30,7 @@
 constexpr std::uint8_t flagAborts = 4;
 
 constexpr std::uint32_t routeAddress = 0xC6120001;
+constexpr std::uint32_t idleAddress = 0xC6130000; // of the first route without traffic
 constexpr std::uint16_t deskPort = 443;
 constexpr std::uint16_t sheetPort = 444;
 constexpr std::uint16_t extraPort = 445;
@@ -163,6 +164,7 @@
           io,
           udp::endpoint(asio::ip::make_address_v4("127." + std::to_string(network) + ".3.1"),
                         m_hosts.front().packetPort))
+    , m_servedAdditions(m_hosts.size())
     , m_newestSeenVersions(m_hosts.size())
 {
     for (const char *zone : {"east", "west"}) {
@@ -248,6 +250,15 @@
     if (m_hasExtraRoute) {
         add("extra", extraPort, "desk");
     }
+    for (unsigned number = 0; number < m_idleRoutes; ++number) {
+        routes.push_back(json{{"name", "idle-" + std::to_string(number)},
+                              {"host", asio::ip::make_address_v4(idleAddress + number).to_string()},
+                              {"prefix", "/443/"},
+                              {"service", "desk"},
+                              {"timeout-ms", requestDeadline.count()},
+                              {"aim-ms", 250},
+                              {"priority", 1}});
+    }
     json services = json::array();
     for (const char *name : {"desk", "sheets"}) {
         services.push_back(json{{"name", name},
@@ -268,6 +279,13 @@
     m_hasExtraRoute = exists;
     m_extraRouteSince = soak_clock::now();
     writeConfig();
+    m_additionVersion = exists ? m_version : m_additionVersion;
+}
+
+void soak_fabric::addIdleRoutes(unsigned count)
+{
+    m_idleRoutes += count;
+    writeConfig();
 }
 
 void soak_fabric::setEvacuated(const std::string &zone, bool isEvacuated)
@@ -658,6 +676,7 @@
     sendPacket(*flowAttempt, flagAcknowledges | flagEnds, 2, 1, "");
     const auto host = static_cast<std::size_t>(flowAttempt->probedHost);
     m_attempts.erase(flowAttempt->port);
+    m_servedAdditions[host] = m_additionVersion;
     if (!m_hasExtraRoute && isRecovered()
         && soak_clock::now() - m_extraRouteSince > maxConfigDelay) {
         reportViolation("config in force",
@@ -699,7 +718,10 @@
         const auto host = static_cast<std::size_t>(flowAttempt->probedHost);
         m_attempts.erase(found);
         if (!m_hasExtraRoute) {
-            m_newestSeenVersions[host] = m_version;
+            // A host that has not served the route since it was added may not know that yet.
+            if (m_servedAdditions[host] == m_additionVersion) {
+                m_newestSeenVersions[host] = m_version;
+            }
         } else if (isRecovered() && soak_clock::now() - m_extraRouteSince > maxConfigDelay) {
             reportViolation("config in force",
                             m_hosts[host].name + " refuses flows on an added route");
