--- a/tests/platform/record_format_test.cpp
+++ b/tests/platform/record_format_test.cpp
@@ -14,14 +14,15 @@
 
 namespace {
 
-json item(const std::string &key, const std::string &value)
+std::optional<record_change> decodedItem(const std::string &key, const std::string &value)
 {
-    return json{{"key", key}, {"value", toBase64(value)}, {"revision", 5}};
+    const std::string text = toBase64(value);
+    return platform::decodeItem({key, 5, false, text});
 }
 
 record_change decoded(const std::string &key, const std::string &value)
 {
-    const auto change = platform::decodeItem(item(key, value));
+    const auto change = decodedItem(key, value);
     REQUIRE(change.has_value());
     return *change;
 }
@@ -153,10 +154,10 @@
 
 TEST_CASE("record_format: keys that figstair does not use: are ignored")
 {
-    CHECK_FALSE(platform::decodeItem(item("servers/old/i-1", "{}")).has_value());
-    CHECK_FALSE(platform::decodeItem(item("status/x", "1")).has_value());
-    CHECK_FALSE(platform::decodeItem(item("servers/not hex!", "{}")).has_value());
-    CHECK_FALSE(platform::decodeItem(item("op/other", "{}")).has_value());
+    CHECK_FALSE(decodedItem("servers/old/i-1", "{}").has_value());
+    CHECK_FALSE(decodedItem("status/x", "1").has_value());
+    CHECK_FALSE(decodedItem("servers/not hex!", "{}").has_value());
+    CHECK_FALSE(decodedItem("op/other", "{}").has_value());
 }
 
 TEST_CASE("record_format: a configuration: routes with one service and with weights")
@@ -269,8 +270,7 @@
 
 TEST_CASE("record_format: a removal: has no content")
 {
-    const auto change =
-        platform::decodeItem(json{{"key", "servers/i-ff"}, {"revision", 9}, {"removed", true}});
+    const auto change = platform::decodeItem({"servers/i-ff", 9, true, std::nullopt});
     REQUIRE(change.has_value());
     CHECK(std::holds_alternative<record_change::removed>(change->content));
     CHECK(change->upstreamId == 0xff);
