Refuse entries of upstreams without version or seq

Another writer had put an entry without version and seq under the key of a living upstream.

Cause: fields that figstair does not need were optional in the decoder, although the platform's page lists them as parts of every entry.

Change: an entry without one of them is unreadable, like one without any other field, so its upstream takes no new flows until its next own entry.

--- a/tests/platform/record_format_test.cpp
+++ b/tests/platform/record_format_test.cpp
@@ -85,8 +85,8 @@
 TEST_CASE("record_format: an entry with a missing or invalid field: is unreadable, not an error")
 {
     CHECK(isReadable(validUpstream()));
-    for (const char *field :
-         {"service", "address", "zone", "concurrency", "state", "warmup-left-ms"}) {
+    for (const char *field : {"service", "address", "zone", "version", "concurrency", "state",
+                              "warmup-left-ms", "seq"}) {
         json entry = validUpstream();
         entry.erase(field);
         CHECK_FALSE(isReadable(entry));
