--- a/src/store/base64.cpp
+++ b/src/store/base64.cpp
@@ -39,8 +39,7 @@
     return text;
 }
 
-// libsodium decodes in constant time, which takes ten times as long: half of the time that a host
-// needs to read a large configuration.
+// libsodium decodes in constant time, which records do not need and which takes much longer.
 std::optional<std::string> fromBase64(std::string_view text)
 {
     if (text.size() % 4 != 0) {
